--- /dev/null
+++ b/Makefile
@@ -0,0 +1,82 @@
+# gentianscale: see README.md. `make demo` and `make check` do all their set-up on a fresh Debian machine.
+PACKAGES := libulfius libmicrohttpd libcurl jansson libzmq msgpack yaml-0.1 glib-2.0 libsodium libxxhash
+MODE ?= release
+B := build/$(MODE)
+WARNINGS := -Wall -Wextra -Werror -Wshadow -Wno-missing-field-initializers
+CFLAGS_release := -O2 -g
+CFLAGS_asan := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES))
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES))
+CPPFLAGS = -D_GNU_SOURCE $(PKG_CFLAGS)
+CFLAGS = -std=gnu11 $(CFLAGS_$(MODE)) $(WARNINGS)
+CXXFLAGS = -std=c++17 $(CFLAGS_$(MODE)) -Wall -Wextra
+LDLIBS = $(PKG_LIBS) -lm -lpthread
+
+LIB_SOURCES := $(wildcard src/gentian/*/*.c)
+LIB_OBJECTS := $(LIB_SOURCES:%.c=$(B)/%.o)
+LIBRARY := $(B)/libgentianscale.a
+PROGRAMS := $(B)/gentianscaled $(B)/gentianctl
+STANDINS := $(patsubst test/standin/%.c,$(B)/standin/%,$(wildcard test/standin/*.c))
+UNIT_TESTS := $(patsubst test/unit/%.c,$(B)/unit/%,$(wildcard test/unit/test_*.c))
+PROPERTY_TESTS := $(patsubst test/property/%.cpp,$(B)/property/%,$(wildcard test/property/prop_*.cpp))
+BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
+FUZZERS := $(patsubst test/fuzz/%.c,build/fuzz/%,$(wildcard test/fuzz/fuzz_*.c))
+
+.PHONY: all setup demo check prove lint format bench-hop bench-detection bench-routing bench-slopes clean fuzz
+.SECONDARY:
+
+all: $(PROGRAMS) $(STANDINS)
+
+setup:
+	@tools/setup
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/%.o: %.cpp
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
+
+$(LIBRARY): $(LIB_OBJECTS)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/gentianscaled: $(B)/src/gentianscaled/main.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/gentianctl: $(B)/src/gentianctl/main.o $(LIBRARY)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/standin/%: $(B)/test/standin/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+$(B)/unit/%: $(B)/test/unit/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LDLIBS)
+
+$(B)/property/%: $(B)/test/property/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
+
+$(B)/bench/%: $(B)/bench/%.o $(LIBRARY)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
+
+build/fuzz/%: test/fuzz/%.c $(LIB_SOURCES)
+	@mkdir -p $(@D)
+	clang $(CPPFLAGS) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined -o $@ $< \
+	  $(filter src/gentian/core/% src/gentian/config/% src/gentian/platform/pack% src/gentian/platform/record% src/gentian/peer/wire%,$(LIB_SOURCES)) $(LDLIBS)
+
+demo: setup
+	@$(MAKE) --no-print-directory -j8 all >/dev/null
+	@tools/demo
+
+check: setup
+	@tools/check
+
+-include $(shell find build -name '*.d' 2>/dev/null)
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/gentian/config/fields.h
@@ -0,0 +1,107 @@
+/**
+ * NAME
+ *   fields - reads YAML mappings into structures by a list of field specifications
+ *
+ * DESCRIPTION
+ *   One specification list serves checking, defaults, help and the reference page. Every error
+ * names the file, line, field, what was found and what is allowed. Tested by
+ * test/unit/test_config.c; its parser is fuzzed by test/fuzz/fuzz_tables.c.
+ *
+ * ERRORS
+ *   GS_CONFIG_ERROR with a GsConfigError code; the numbers are stable and stand in the help.
+ */
+#ifndef GS_FIELDS_H
+#define GS_FIELDS_H
+
+#include <glib.h>
+#include <stdint.h>
+#include <yaml.h>
+
+#define GS_CONFIG_ERROR (gs_config_error_quark ())
+
+/** Codes of errors in settings and tables. */
+typedef enum
+{
+  GS_CONFIG_ERROR_SYNTAX = 1,    /**< not YAML, or not the expected kind of node */
+  GS_CONFIG_ERROR_UNKNOWN = 2,   /**< unknown field */
+  GS_CONFIG_ERROR_TYPE = 3,      /**< wrong type */
+  GS_CONFIG_ERROR_RANGE = 4,     /**< value outside its range */
+  GS_CONFIG_ERROR_MISSING = 5,   /**< required field is missing */
+  GS_CONFIG_ERROR_DUPLICATE = 6, /**< name, route or field stands twice */
+  GS_CONFIG_ERROR_REFERENCE = 7, /**< a route names a pool that is not there */
+  GS_CONFIG_ERROR_FILE = 8,      /**< the file cannot be read, or is too large */
+} GsConfigError;
+
+GQuark gs_config_error_quark (void);
+
+typedef enum
+{
+  GS_FIELD_TEXT,   /**< char *, between min and max bytes */
+  GS_FIELD_NAME,   /**< char *, letters, digits, "-", "_" and "." */
+  GS_FIELD_UINT,   /**< uint32_t between min and max */
+  GS_FIELD_CHOICE, /**< int, index in choices */
+  GS_FIELD_BOOL,   /**< gboolean */
+  GS_FIELD_IPV4,   /**< uint32_t in host byte order */
+  GS_FIELD_NODE,   /**< yaml_node_t *, read by the caller */
+} GsFieldKind;
+
+/** Specification of one field. */
+typedef struct
+{
+  const char *name;
+  GsFieldKind kind;
+  size_t offset; /**< in the structure */
+  uint64_t min;
+  uint64_t max;
+  const char *fallback; /**< default as text; NULL: the field is required */
+  const char *unit;
+  const char *help;
+  const char *const *choices; /**< NULL-terminated */
+} GsFieldSpec;
+
+/** A parsed YAML document. */
+typedef struct
+{
+  yaml_document_t document;
+  char *file; /**< name for messages */
+} GsYaml;
+
+/** Parses LENGTH bytes of TEXT. RETURN VALUE: FALSE with ERROR. */
+gboolean
+gs_yaml_parse (GsYaml *yaml, const char *file, const char *text, size_t length, GError **error);
+void gs_yaml_clear (GsYaml *yaml);
+
+/** RETURN VALUE: the root mapping, or NULL with ERROR. */
+yaml_node_t *gs_yaml_root (GsYaml *yaml, GError **error);
+
+/** Reads the mapping NODE into OUT. Text fields are newly allocated. RETURN VALUE: FALSE with
+ * ERROR. */
+gboolean gs_fields_read (GsYaml *yaml,
+                         yaml_node_t *node,
+                         const GsFieldSpec *specs,
+                         size_t n_specs,
+                         void *out,
+                         GError **error);
+
+/** Frees the text fields of OUT. */
+void gs_fields_clear (const GsFieldSpec *specs, size_t n_specs, void *out);
+
+/** RETURN VALUE: number of items of the sequence NODE, or -1 with ERROR. NULL has no items. */
+int gs_yaml_length (GsYaml *yaml, yaml_node_t *node, const char *field, GError **error);
+
+/** RETURN VALUE: item INDEX of the sequence NODE. */
+yaml_node_t *gs_yaml_item (GsYaml *yaml, yaml_node_t *node, int index);
+
+/** Sets ERROR in the common form: file:line: field NAME: found FOUND, allowed ALLOWED. */
+void gs_yaml_error (GsYaml *yaml,
+                    const yaml_node_t *node,
+                    GError **error,
+                    GsConfigError code,
+                    const char *field,
+                    const char *found,
+                    const char *allowed);
+
+/** RETURN VALUE: newly allocated Markdown rows that describe SPECS. */
+char *gs_fields_describe (const GsFieldSpec *specs, size_t n_specs);
+
+#endif
--- /dev/null
+++ b/src/gentian/core/claim.c
@@ -0,0 +1,314 @@
+#include "claim.h"
+
+#include <glib.h>
+#include <string.h>
+
+/** Share of ticket numbers that tell their age: 2^TICKET_AGE_BITS microseconds, about a second. */
+#define TICKET_AGE_BITS 20
+#define TICKET_COUNT_BITS 32
+
+enum
+{
+  CLAIM_WINDOW_SHARE = 4, /* part of the log's retention that the window is */
+  CLAIM_RELEASED_MAX = 4, /* released claims remembered for a key, against repeated records */
+};
+
+typedef struct
+{
+  GsKey key;
+  uint64_t claim;
+  uint64_t released[CLAIM_RELEASED_MAX];
+  uint32_t n_released;
+  GsKeyState state;
+} KeyEntry;
+
+struct GsClaims
+{
+  GHashTable *keys; /* KeyEntry, keyed by its key */
+  int64_t covered_from_ms;
+  int64_t window_ms;
+};
+
+static guint
+key_hash (gconstpointer data)
+{
+  return (guint)((const GsKey *)data)->low;
+}
+
+static gboolean
+key_equal (gconstpointer left, gconstpointer right)
+{
+  const GsKey *a = left;
+  const GsKey *b = right;
+
+  return a->high == b->high && a->low == b->low && a->key_ms == b->key_ms;
+}
+
+GsClaims *
+gs_claims_new (void)
+{
+  GsClaims *claims = g_new0 (GsClaims, 1);
+
+  claims->keys = g_hash_table_new_full (key_hash, key_equal, NULL, g_free);
+  claims->covered_from_ms = INT64_MAX;
+  claims->window_ms = GS_CLAIM_WINDOW_MS;
+  return claims;
+}
+
+void
+gs_claims_free (GsClaims *claims)
+{
+  if (claims == NULL)
+    return;
+  g_hash_table_destroy (claims->keys);
+  g_free (claims);
+}
+
+void
+gs_claims_set_covered (GsClaims *claims, int64_t from_ms)
+{
+  claims->covered_from_ms = from_ms;
+}
+
+void
+gs_claims_set_retention (GsClaims *claims, int64_t retention_ms)
+{
+  claims->window_ms = MIN (GS_CLAIM_WINDOW_MS, retention_ms / CLAIM_WINDOW_SHARE);
+}
+
+int64_t
+gs_claims_window_ms (const GsClaims *claims)
+{
+  return claims->window_ms;
+}
+
+static bool
+knows_key (const GsClaims *claims, const GsKey *key)
+{
+  return claims->covered_from_ms <= key->key_ms - claims->window_ms;
+}
+
+static bool
+inside_window (const GsClaims *claims, const GsKey *key, int64_t log_ms)
+{
+  return log_ms >= key->key_ms - claims->window_ms && log_ms <= key->key_ms + claims->window_ms;
+}
+
+static KeyEntry *
+entry_of (GsClaims *claims, const GsKey *key)
+{
+  KeyEntry *entry = g_hash_table_lookup (claims->keys, key);
+
+  if (entry != NULL)
+    return entry;
+  entry = g_new0 (KeyEntry, 1);
+  entry->key = *key;
+  g_hash_table_insert (claims->keys, &entry->key, entry);
+  return entry;
+}
+
+static bool
+was_released (const KeyEntry *entry, uint64_t claim)
+{
+  for (uint32_t i = 0; i < CLAIM_RELEASED_MAX; i++)
+    if (entry->released[i] == claim)
+      return true;
+  return false;
+}
+
+static GsClaimResult
+fold_take (GsClaims *claims, const GsClaimRecord *record, int64_t log_ms)
+{
+  KeyEntry *entry;
+
+  if (!inside_window (claims, &record->key, log_ms))
+    return GS_CLAIM_STALE;
+  entry = entry_of (claims, &record->key);
+  if (was_released (entry, record->claim))
+    return GS_CLAIM_LOST; /* a late copy of a record whose claim was given back */
+  if (entry->state != GS_KEY_FREE)
+    return entry->state == GS_KEY_CLAIMED && entry->claim == record->claim ? GS_CLAIM_WON
+                                                                           : GS_CLAIM_LOST;
+  entry->state = GS_KEY_CLAIMED;
+  entry->claim = record->claim;
+  return knows_key (claims, &record->key) ? GS_CLAIM_WON : GS_CLAIM_STALE;
+}
+
+GsClaimResult
+gs_claims_fold (GsClaims *claims, const GsClaimRecord *record, int64_t log_ms)
+{
+  KeyEntry *entry;
+
+  if (record->kind == GS_CLAIM_TAKE)
+    return fold_take (claims, record, log_ms);
+  entry = g_hash_table_lookup (claims->keys, &record->key);
+  if (entry == NULL || entry->claim != record->claim || entry->state != GS_KEY_CLAIMED)
+    return GS_CLAIM_LOST;
+  entry->state = record->kind == GS_CLAIM_DONE ? GS_KEY_DONE : GS_KEY_FREE;
+  if (record->kind == GS_CLAIM_RELEASE)
+    entry->released[entry->n_released++ % CLAIM_RELEASED_MAX] = record->claim;
+  return GS_CLAIM_LOST;
+}
+
+GsKeyState
+gs_claims_state (const GsClaims *claims, const GsKey *key, uint64_t *claim)
+{
+  const KeyEntry *entry = g_hash_table_lookup (claims->keys, key);
+
+  *claim = entry != NULL ? entry->claim : 0;
+  if (entry != NULL && entry->state != GS_KEY_FREE)
+    return entry->state;
+  return knows_key (claims, key) ? GS_KEY_FREE : GS_KEY_UNKNOWN;
+}
+
+void
+gs_claims_prune (GsClaims *claims, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, claims->keys);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((KeyEntry *)value)->key.key_ms + 2 * claims->window_ms < now_ms)
+      g_hash_table_iter_remove (&iter);
+}
+
+uint32_t
+gs_claims_count (const GsClaims *claims)
+{
+  return g_hash_table_size (claims->keys);
+}
+
+uint32_t
+gs_key_partition (const GsKey *key)
+{
+  return (uint32_t)(key->high % GS_CLAIM_PARTITIONS);
+}
+
+bool
+gs_key_parse (const char *workspace, const char *text, GsKey *key)
+{
+  size_t length = strnlen (text, GS_CLAIM_KEY_MAX + 1);
+  gchar *end = NULL;
+  guint64 key_ms;
+
+  if (length > GS_CLAIM_KEY_MAX || !g_ascii_isdigit (text[0]))
+    return false;
+  key_ms = g_ascii_strtoull (text, &end, 10);
+  if (*end != '-' || end[1] == '\0' || key_ms > (guint64)INT64_MAX / 4)
+    return false;
+  key->key_ms = (int64_t)key_ms;
+  key->high = gs_hash_bytes (text, length, gs_hash_name (workspace));
+  key->low = gs_hash_bytes (text, length, gs_mix64 (key->high) | 1);
+  return true;
+}
+
+struct GsTickets
+{
+  GHashTable *used; /* number -> GsTicketState */
+  GQueue order;     /* used numbers, oldest first */
+  uint64_t next;
+};
+
+static int64_t
+issued_us (uint64_t number)
+{
+  return (int64_t)(number >> TICKET_COUNT_BITS) << TICKET_AGE_BITS;
+}
+
+GsTickets *
+gs_tickets_new (void)
+{
+  GsTickets *tickets = g_new0 (GsTickets, 1);
+
+  tickets->used = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  g_queue_init (&tickets->order);
+  return tickets;
+}
+
+void
+gs_tickets_free (GsTickets *tickets)
+{
+  if (tickets == NULL)
+    return;
+  g_queue_clear (&tickets->order);
+  g_hash_table_destroy (tickets->used);
+  g_free (tickets);
+}
+
+uint64_t
+gs_tickets_issue (GsTickets *tickets, int64_t now_us)
+{
+  uint64_t age = (uint64_t)now_us >> TICKET_AGE_BITS;
+
+  return age << TICKET_COUNT_BITS | (++tickets->next & UINT32_MAX);
+}
+
+/* Forgets used tickets that have expired, so that memory stays bounded by the rate of use. */
+static void
+forget_expired (GsTickets *tickets, int64_t now_us)
+{
+  uint64_t *number = g_queue_peek_head (&tickets->order);
+
+  while (number != NULL && now_us - issued_us (*number) > 2 * GS_TICKET_LIFE_US)
+    {
+      g_queue_pop_head (&tickets->order);
+      g_hash_table_remove (tickets->used, number);
+      number = g_queue_peek_head (&tickets->order);
+    }
+}
+
+GsTicketState
+gs_tickets_state (GsTickets *tickets, uint64_t number, int64_t now_us)
+{
+  gpointer value;
+
+  if (g_hash_table_lookup_extended (tickets->used, &number, NULL, &value)
+      && GPOINTER_TO_INT (value) != GS_TICKET_FRESH)
+    return (GsTicketState)GPOINTER_TO_INT (value);
+  return now_us - issued_us (number) > GS_TICKET_LIFE_US ? GS_TICKET_EXPIRED : GS_TICKET_FRESH;
+}
+
+bool
+gs_tickets_use (GsTickets *tickets, uint64_t number, int64_t now_us)
+{
+  uint64_t *key;
+  gpointer stored;
+
+  forget_expired (tickets, now_us);
+  if (gs_tickets_state (tickets, number, now_us) != GS_TICKET_FRESH)
+    return false;
+  if (g_hash_table_lookup_extended (tickets->used, &number, &stored, NULL))
+    {
+      g_hash_table_steal (tickets->used, &number);
+      g_hash_table_insert (tickets->used, stored, GINT_TO_POINTER (GS_TICKET_USED));
+      return true;
+    }
+  key = g_memdup2 (&number, sizeof number);
+  g_hash_table_insert (tickets->used, key, GINT_TO_POINTER (GS_TICKET_USED));
+  g_queue_push_tail (&tickets->order, key);
+  return true;
+}
+
+static void
+set_ticket (GsTickets *tickets, uint64_t number, GsTicketState state)
+{
+  gpointer stored;
+
+  if (!g_hash_table_lookup_extended (tickets->used, &number, &stored, NULL))
+    return;
+  g_hash_table_steal (tickets->used, &number);
+  g_hash_table_insert (tickets->used, stored, GINT_TO_POINTER (state));
+}
+
+void
+gs_tickets_unuse (GsTickets *tickets, uint64_t number)
+{
+  set_ticket (tickets, number, GS_TICKET_FRESH);
+}
+
+void
+gs_tickets_done (GsTickets *tickets, uint64_t number)
+{
+  set_ticket (tickets, number, GS_TICKET_DONE);
+}
--- /dev/null
+++ b/src/gentian/core/core.c
@@ -0,0 +1,608 @@
+#include "core_private.h"
+
+#include <string.h>
+
+/** Period of evidence between the homes of a pool. */
+#define CORE_EVIDENCE_PERIOD_US (50 * GS_US_PER_MS)
+/** Share of the threshold from which evidence is worth telling. */
+#define CORE_EVIDENCE_SHARE 0.1
+
+static void
+free_pool_state (gpointer data)
+{
+  PoolState *state = data;
+
+  gs_pool_free (state->pool);
+  gs_queue_free (state->queue);
+  g_free (state->workspace);
+  g_free (state->name);
+  g_free (state);
+}
+
+static void
+sink_probe (const GsPeerAddress *to, const GsProbe *probe, void *data)
+{
+  GsCore *core = data;
+  GsEffect *effect;
+
+  if (core->effects == NULL)
+    {
+      g_free (probe->facts);
+      return;
+    }
+  effect = core_add_effect (core, GS_EFFECT_PROBE);
+  effect->to = *to;
+  effect->probe = *probe;
+}
+
+GsCore *
+gs_core_new (const GsCoreOptions *options)
+{
+  GsCore *core = g_new0 (GsCore, 1);
+  GsMembersOptions members = {
+    .self = options->self, .seed = gs_mix64 (options->seed + 1), .sink = sink_probe, .data = core
+  };
+
+  core->options = *options;
+  core->random.state = options->seed;
+  core->table = gs_table_new ();
+  core->fold = gs_fold_new (core->table);
+  core->members = gs_members_new (&members);
+  core->pools = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_pool_state);
+  core->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  core->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  core->crash_sites = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  core->own_claims = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  core->crashes = gs_crashes_new ();
+  core->tickets = gs_tickets_new ();
+  return core;
+}
+
+void
+gs_core_free (GsCore *core)
+{
+  if (core == NULL)
+    return;
+  g_hash_table_destroy (core->requests);
+  g_hash_table_destroy (core->attempts);
+  g_hash_table_destroy (core->crash_sites);
+  g_hash_table_destroy (core->own_claims);
+  g_hash_table_destroy (core->pools);
+  gs_crashes_free (core->crashes);
+  gs_tickets_free (core->tickets);
+  for (int i = 0; i < GS_CLAIM_PARTITIONS; i++)
+    gs_claims_free (core->claims[i]);
+  gs_members_free (core->members);
+  gs_fold_free (core->fold);
+  gs_table_free (core->table);
+  g_free (core);
+}
+
+uint64_t
+gs_core_pool_key (const char *workspace, const char *pool)
+{
+  return gs_hash_bytes (pool, strlen (pool), gs_hash_name (workspace));
+}
+
+GsPeerAddress
+core_address_of (const GsMemberFact *fact)
+{
+  return (GsPeerAddress){ .ipv4 = fact->ipv4, .peer_port = fact->peer_port };
+}
+
+PoolState *
+core_pool_state (GsCore *core, const GsPoolRow *row)
+{
+  uint64_t key = gs_core_pool_key (row->document->workspace, row->name);
+  PoolState *state = g_hash_table_lookup (core->pools, &key);
+
+  if (state != NULL)
+    return state;
+  state = g_new0 (PoolState, 1);
+  state->key = key;
+  state->workspace = g_strdup (row->document->workspace);
+  state->name = g_strdup (row->name);
+  state->budget = gs_budget_full ();
+  state->homes_epoch = UINT64_MAX;
+  g_hash_table_insert (core->pools, &state->key, state);
+  return state;
+}
+
+static const GsPoolRow *
+row_of (const GsCore *core, const PoolState *state)
+{
+  return gs_table_pool (core->table, state->workspace, state->name);
+}
+
+/* Run-time state of a pool that this daemon serves from now on. */
+GsPool *
+core_serve_pool (GsCore *core, PoolState *state)
+{
+  GsPoolOptions options = { .row = row_of (core, state),
+                            .behaviour = core->options.detector,
+                            .threshold = core->options.detector_threshold,
+                            .now_us = core->now_us,
+                            .cold_start = true };
+
+  if (state->pool != NULL || options.row == NULL)
+    return state->pool;
+  state->pool = gs_pool_new (&options);
+  state->queue = gs_queue_new ();
+  core_refresh_homes (core, state);
+  gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_homes, 1));
+  core_report_changes (core, state);
+  return state->pool;
+}
+
+uint32_t
+gs_core_homes (const GsCore *core, const GsPoolRow *pool, uint32_t *indexes)
+{
+  uint32_t count = core->options.homes > 0 ? (uint32_t)core->options.homes : pool->homes;
+  uint64_t key = gs_core_pool_key (pool->document->workspace, pool->name);
+
+  return gs_members_homes (core->members, key, MIN (count, CORE_HOMES_MAX), indexes);
+}
+
+void
+core_refresh_homes (GsCore *core, PoolState *state)
+{
+  const GsPoolRow *row = row_of (core, state);
+  uint64_t epoch = gs_members_epoch (core->members);
+
+  if (row == NULL
+      || (state->homes_epoch == epoch && state->homes_revision == row->document->revision))
+    return;
+  state->homes_epoch = epoch;
+  state->homes_revision = row->document->revision;
+  state->n_homes = gs_core_homes (core, row, state->homes);
+  state->is_home = state->n_homes == 0;
+  for (uint32_t i = 0; i < state->n_homes; i++)
+    state->is_home = state->is_home || state->homes[i] == 0;
+  if (state->pool != NULL)
+    gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_homes, 1));
+}
+
+/* Adds a copy of the message EFFECT for each other home of the pool. */
+void
+core_tell_homes (GsCore *core, PoolState *state, const GsEffect *effect)
+{
+  if (core->options.keep_evidence)
+    return;
+  core_refresh_homes (core, state);
+  for (uint32_t i = 0; i < state->n_homes; i++)
+    {
+      GsEffect *copy;
+      if (state->homes[i] == 0)
+        continue;
+      copy = core_add_effect (core, effect->kind);
+      *copy = *effect;
+      copy->to = core_address_of (gs_members_get (core->members, state->homes[i]));
+    }
+}
+
+void
+core_report_changes (GsCore *core, PoolState *state)
+{
+  GsPoolChange changes[GS_POOL_CHANGES_MAX];
+  uint32_t count = gs_pool_take_changes (state->pool, changes, GS_POOL_CHANGES_MAX);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      GsUpstreamView view;
+      gs_pool_view (state->pool, changes[i].upstream, &view);
+      core_notice (core, GS_NOTICE_UPSTREAM_CHANGED,
+                   "workspace=%s pool=%s upstream=%s from=%s to=%s reason=%s score_nats=%.1f "
+                   "in_rotation=%u floor=%u",
+                   state->workspace, state->name, view.id, gs_upstream_state_name (changes[i].from),
+                   gs_upstream_state_name (changes[i].to), changes[i].reason, changes[i].score_nats,
+                   gs_pool_in_rotation (state->pool), gs_pool_floor (state->pool));
+    }
+}
+
+static void
+tell_evidence (GsCore *core, PoolState *state)
+{
+  for (uint16_t i = 0; i < gs_pool_size (state->pool); i++)
+    {
+      GsEffect effect = { .kind = GS_EFFECT_EVIDENCE };
+      GsUpstreamView view;
+      gs_pool_view (state->pool, i, &view);
+      if (view.state > GS_UPSTREAM_EJECTED
+          || view.score_nats < CORE_EVIDENCE_SHARE * gs_detector_cost_threshold (GS_COST_DETECTION))
+        continue;
+      effect.evidence.pool = state->key;
+      effect.evidence.score_nats = view.score_nats;
+      g_strlcpy (effect.evidence.from, core->options.self.id, sizeof effect.evidence.from);
+      g_strlcpy (effect.evidence.upstream, view.id, sizeof effect.evidence.upstream);
+      core_tell_homes (core, state, &effect);
+    }
+}
+
+static void
+tick_pools (GsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  bool tell = core->now_us >= core->next_evidence_us;
+
+  if (tell)
+    core->next_evidence_us = core->now_us + CORE_EVIDENCE_PERIOD_US;
+  g_hash_table_iter_init (&iter, core->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PoolState *state = value;
+      if (state->pool == NULL)
+        continue;
+      gs_pool_tick (state->pool, core->now_us);
+      core_report_changes (core, state);
+      if (tell)
+        tell_evidence (core, state);
+      request_serve_waiting (core, state);
+    }
+}
+
+bool
+gs_core_ready (const GsCore *core)
+{
+  return gs_fold_complete (core->fold) && !core->stopping && !gs_members_isolated (core->members);
+}
+
+static void
+update_ready (GsCore *core)
+{
+  bool ready = gs_core_ready (core);
+
+  if (ready != core->was_ready)
+    core_notice (core, GS_NOTICE_READY, "ready=%s", ready ? "true" : "false");
+  core->was_ready = ready;
+  gs_members_set_ready (core->members, ready || core->stopping);
+}
+
+static void
+report_members (GsCore *core)
+{
+  uint32_t counts[4] = { 0 };
+
+  if (core->seen_epoch == gs_members_epoch (core->members))
+    return;
+  core->seen_epoch = gs_members_epoch (core->members);
+  for (uint32_t i = 0; i < gs_members_count (core->members); i++)
+    counts[gs_members_get (core->members, i)->state & 3]++;
+  core_notice (core, GS_NOTICE_MEMBER_CHANGED, "alive=%u leaving=%u suspect=%u dead=%u",
+               counts[GS_MEMBER_ALIVE], counts[GS_MEMBER_LEAVING], counts[GS_MEMBER_SUSPECT],
+               counts[GS_MEMBER_DEAD]);
+}
+
+static void
+tick (GsCore *core)
+{
+  gs_members_set_position (core->members, gs_fold_position (core->fold));
+  update_ready (core);
+  gs_members_tick (core->members, core->now_us);
+  report_members (core);
+  tick_pools (core);
+  request_tick (core);
+}
+
+/* Hands edited rows to the pools that are served here. */
+static void
+tables_changed (GsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PoolState *state = value;
+      const GsPoolRow *row = row_of (core, state);
+      if (state->pool == NULL || row == NULL || state->homes_revision == row->document->revision)
+        continue;
+      gs_pool_update (state->pool, row, core->now_us);
+      core_refresh_homes (core, state);
+      core_report_changes (core, state);
+      request_serve_waiting (core, state);
+    }
+}
+
+static void
+take_edit (GsCore *core, uint64_t offset, const GsEdit *edit)
+{
+  GsEdit copy = *edit;
+  uint64_t revision;
+  GsEditResult result = gs_fold_edit (core->fold, offset, &copy, &revision);
+  GsEffect *effect;
+
+  if (result == GS_EDIT_IGNORED)
+    return;
+  effect = core_add_effect (core, GS_EFFECT_EDIT_RESULT);
+  effect->edit_result.submission = edit->submission;
+  effect->edit_result.result = result;
+  effect->edit_result.revision = revision;
+  core_notice (core, GS_NOTICE_EDIT_JUDGED,
+               "workspace=%s offset=%" G_GUINT64_FORMAT " result=%s revision=%" G_GUINT64_FORMAT,
+               edit->workspace, offset, gs_edit_result_name (result), revision);
+  if (result == GS_EDIT_ACCEPTED)
+    tables_changed (core);
+}
+
+static void
+take_copy (GsCore *core, const GsCopyEvent *copy)
+{
+  bool may_take = gs_fold_may_take (core->fold, copy->from, copy->position);
+  uint32_t taken = 0;
+
+  for (uint32_t i = 0; i < copy->n_entries; i++)
+    if (!may_take)
+      gs_document_free (copy->documents[i]);
+    else if (gs_fold_take (core->fold, &copy->entries[i], copy->documents[i]))
+      taken++;
+  if (!may_take)
+    return;
+  gs_fold_taken (core->fold, copy->position);
+  core_notice (core, GS_NOTICE_COPY_TAKEN,
+               "from=%" G_GUINT64_FORMAT " position=%" G_GUINT64_FORMAT " workspaces=%u",
+               copy->from, copy->position, taken);
+  tables_changed (core);
+}
+
+static void
+take_evidence (GsCore *core, const GsEvidence *evidence)
+{
+  PoolState *state = g_hash_table_lookup (core->pools, &evidence->pool);
+
+  if (state == NULL || state->pool == NULL)
+    return;
+  for (uint32_t i = 0; i < state->n_homes; i++)
+    if (strcmp (gs_members_get (core->members, state->homes[i])->id, evidence->from) == 0)
+      gs_pool_peer_evidence (state->pool, (uint16_t)i, evidence->upstream, evidence->score_nats,
+                             core->now_us);
+  core_report_changes (core, state);
+}
+
+typedef struct
+{
+  GsCore *core;
+  const GsUpstreamSign *sign;
+} SignTelling;
+
+static bool
+has_upstream (const GsPoolRow *pool, const char *id)
+{
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (strcmp (pool->upstreams[i].id, id) == 0)
+      return true;
+  return false;
+}
+
+static void
+tell_sign_of_document (const GsDocument *document, void *data)
+{
+  SignTelling *telling = data;
+  GsEffect effect = { .kind = GS_EFFECT_SIGN, .sign = *telling->sign };
+
+  effect.sign.tell_peers = false;
+  for (uint32_t i = 0; i < document->n_pools; i++)
+    if (has_upstream (&document->pools[i], telling->sign->upstream))
+      core_tell_homes (telling->core, core_pool_state (telling->core, &document->pools[i]),
+                       &effect);
+}
+
+static void
+take_sign (GsCore *core, const GsUpstreamSign *sign)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      PoolState *state = value;
+      if (state->pool == NULL)
+        continue;
+      if (!sign->leaving)
+        gs_pool_listed_live (state->pool, sign->upstream, core->now_us);
+      else
+        gs_pool_leave (state->pool, sign->upstream, core->now_us);
+      core_report_changes (core, state);
+    }
+  if (sign->tell_peers)
+    gs_table_foreach (core->table, tell_sign_of_document,
+                      &(SignTelling){ .core = core, .sign = sign });
+}
+
+static void
+fill_entries (GsCore *core, PoolState *state, GsEntriesEffect *entries)
+{
+  uint32_t unreachable[CORE_HOMES_MAX];
+  uint32_t n_unreachable = 0;
+
+  for (uint32_t i = 0; i < state->n_homes && entries->n_members < GS_ENTRIES_MAX; i++)
+    {
+      uint32_t index = state->homes[i];
+      if (index != 0 && !gs_members_reachable (core->members, index))
+        unreachable[n_unreachable++] = index;
+      else
+        entries->members[entries->n_members++] = *gs_members_get (core->members, index);
+    }
+  if (entries->n_members == 0 && n_unreachable > 0)
+    entries->members[entries->n_members++] = *gs_members_get (core->members, unreachable[0]);
+}
+
+/* Daemons for a question that names no route: any, one a failure domain first. */
+static void
+fill_any (GsCore *core, GsEntriesEffect *entries)
+{
+  uint32_t indexes[GS_ENTRIES_MAX];
+  uint32_t count
+      = gs_members_homes (core->members, gs_random_next (&core->random), GS_ENTRIES_MAX, indexes);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (gs_members_reachable (core->members, indexes[i]))
+      entries->members[entries->n_members++] = *gs_members_get (core->members, indexes[i]);
+}
+
+static void
+note_named (GsCore *core, const GsEntriesEffect *entries, const char *host, const char *path)
+{
+  core_notice (core, GS_NOTICE_NAMED,
+               "host=%.60s path=%.60s named=%u first=%s ticket=%s ask_home=%s",
+               host != NULL ? host : "-", path != NULL ? path : "-", entries->n_members,
+               entries->n_members > 0 ? entries->members[0].id : "-",
+               entries->ticket != 0 ? "yes" : "no", entries->ask_home ? "yes" : "no");
+}
+
+static void
+take_entries (GsCore *core, const GsEntriesEvent *event)
+{
+  const GsRoute *route
+      = event->host != NULL ? gs_table_match (core->table, event->host, event->path) : NULL;
+  const GsPoolRow *row
+      = route != NULL ? gs_table_pool (core->table, route->document->workspace, route->pool) : NULL;
+  GsEntriesEffect entries = { .request = event->request, .life_us = GS_ENTRIES_LIFE_US };
+
+  entries.unavailable = !gs_fold_complete (core->fold);
+  if (row != NULL)
+    {
+      PoolState *state = core_pool_state (core, row);
+      core_refresh_homes (core, state);
+      fill_entries (core, state, &entries);
+      entries.repeat = route->repeat;
+      entries.ask_home
+          = route->repeat == GS_REPEAT_NEVER && !state->is_home && entries.n_members > 0;
+      if (route->repeat == GS_REPEAT_NEVER && !entries.ask_home && !core->stopping)
+        entries.ticket = gs_tickets_issue (core->tickets, core->now_us);
+    }
+  else
+    fill_any (core, &entries);
+  core_add_effect (core, GS_EFFECT_ENTRIES)->entries = entries;
+  note_named (core, &entries, event->host, event->path);
+}
+
+static void
+take_crash (GsCore *core, const GsCrashNews *news)
+{
+  if (news->crash == 0)
+    gs_crashes_clear (core->crashes, news->fingerprint);
+  else
+    gs_crashes_suspect (core->crashes, news->fingerprint, news->crash, core->now_us);
+}
+
+static void
+take_position (GsCore *core, uint64_t position, bool from_start)
+{
+  if (from_start)
+    gs_fold_begin (core->fold, position);
+  else
+    gs_fold_advance (core->fold, position);
+}
+
+static void
+stop (GsCore *core)
+{
+  core->stopping = true;
+  update_ready (core);
+  gs_members_leave (core->members);
+  gs_members_tick (core->members, core->now_us);
+}
+
+void
+gs_core_reduce (GsCore *core, const GsEvent *event, GsEffects *effects)
+{
+  core->effects = effects;
+  core->now_us = MAX (core->now_us, event->now_us);
+  switch (event->kind)
+    {
+    case GS_EVENT_TICK:
+      tick (core);
+      break;
+    case GS_EVENT_REQUEST:
+      request_arrive (core, &event->request);
+      break;
+    case GS_EVENT_ATTEMPT_BEGAN:
+      request_attempt_began (core, event->attempt_began);
+      break;
+    case GS_EVENT_ATTEMPT_END:
+      request_attempt_end (core, &event->attempt_end);
+      break;
+    case GS_EVENT_CALLER_LEFT:
+      request_caller_left (core, event->caller_left);
+      break;
+    case GS_EVENT_ENTRIES:
+      take_entries (core, &event->entries);
+      break;
+    case GS_EVENT_EDIT:
+      take_edit (core, event->edit.offset, &event->edit.edit);
+      break;
+    case GS_EVENT_POSITION:
+      take_position (core, event->position.position, event->position.from_start);
+      break;
+    case GS_EVENT_COPY:
+      take_copy (core, &event->copy);
+      break;
+    case GS_EVENT_CLAIM:
+      right_fold (core, event->claim.partition, &event->claim.record, event->claim.log_ms);
+      break;
+    case GS_EVENT_CLAIM_COVERED:
+      right_covered (core, event->claim_covered.partition, event->claim_covered.from_ms,
+                     event->claim_covered.log_now_ms, event->claim_covered.retention_ms);
+      if (event->claim_covered.caught_up)
+        right_caught_up (core, event->claim_covered.partition);
+      break;
+    case GS_EVENT_APPEND_FAILED:
+      right_append_failed (core, event->append_failed.claim, event->append_failed.certain);
+      break;
+    case GS_EVENT_PROBE:
+      gs_members_receive (core->members, event->probe, core->now_us);
+      break;
+    case GS_EVENT_JOIN:
+      gs_members_join (core->members, &event->join);
+      break;
+    case GS_EVENT_EVIDENCE:
+      take_evidence (core, &event->evidence);
+      break;
+    case GS_EVENT_CRASH:
+      take_crash (core, &event->crash);
+      break;
+    case GS_EVENT_UPSTREAM_SIGN:
+      take_sign (core, &event->sign);
+      break;
+    case GS_EVENT_STOP:
+      stop (core);
+      break;
+    }
+  core->effects = NULL;
+}
+
+uint32_t
+gs_core_in_flight (const GsCore *core)
+{
+  return g_hash_table_size (core->requests);
+}
+
+const GsTable *
+gs_core_table (const GsCore *core)
+{
+  return core->table;
+}
+
+const GsFold *
+gs_core_fold (const GsCore *core)
+{
+  return core->fold;
+}
+
+const GsMembers *
+gs_core_members (const GsCore *core)
+{
+  return core->members;
+}
+
+const GsPool *
+gs_core_pool (const GsCore *core, const char *workspace, const char *pool)
+{
+  uint64_t key = gs_core_pool_key (workspace, pool);
+  PoolState *state = g_hash_table_lookup (core->pools, &key);
+
+  return state != NULL ? state->pool : NULL;
+}
--- /dev/null
+++ b/src/gentian/core/core.h
@@ -0,0 +1,331 @@
+/**
+ * NAME
+ *   core - the reducer: every decision of a daemon
+ *
+ * SYNOPSIS
+ *   GsCore *core = gs_core_new (&(GsCoreOptions){ .self = self, .seed = 7 });
+ *   GsEffects *effects = gs_effects_new ();
+ *   GsEvent event = { .kind = GS_EVENT_TICK, .now_us = now_us };
+ *   gs_core_reduce (core, &event, effects);
+ *   for (uint32_t i = 0; i < gs_effects_count (effects); i++)
+ *     carry_out (gs_effects_get (effects, i));
+ *   gs_effects_clear (effects);
+ *
+ * DESCRIPTION
+ *   reduce (state, event) -> effects, deterministic: time comes with events, random numbers from a
+ * seeded generator in the state, and nothing here does I/O, blocks, prints or reads a clock. The
+ * same seed and events give the same effects. Effects are data for the caller to carry out. Not
+ * thread-safe: one call at a time. No library type appears in this header.
+ *
+ *   Strings in an event need to live for the call only. Pointers in an effect live until
+ * gs_effects_clear.
+ */
+#ifndef GS_CORE_H
+#define GS_CORE_H
+
+#include "claim.h"
+#include "detector.h"
+#include "fold.h"
+#include "member.h"
+#include "notice.h"
+#include "pool.h"
+
+enum
+{
+  GS_ENTRIES_MAX = 8,       /**< daemons named in an answer to the address question */
+  GS_NOTICE_TEXT_MAX = 320, /**< bytes of a notice's fields */
+};
+
+/** Time for which a caller may keep an answer to the address question. */
+#define GS_ENTRIES_LIFE_US (5 * GS_US_PER_S)
+
+/** Which right a request brings with it. */
+typedef enum
+{
+  GS_RIGHT_NONE = 0,
+  GS_RIGHT_TICKET,
+  GS_RIGHT_KEY,
+} GsRightKind;
+
+/** A right as received; a ticket's signature has been checked by the edge. */
+typedef struct
+{
+  GsRightKind kind;
+  char issuer[GS_NAME_MAX + 1]; /**< ticket: daemon */
+  uint64_t incarnation;         /**< ticket: its incarnation */
+  uint64_t number;              /**< ticket */
+  const char *key;              /**< key: text of the caller */
+} GsRight;
+
+typedef enum
+{
+  GS_EVENT_TICK = 0,
+  GS_EVENT_REQUEST,
+  GS_EVENT_ATTEMPT_BEGAN,
+  GS_EVENT_ATTEMPT_END,
+  GS_EVENT_CALLER_LEFT,
+  GS_EVENT_ENTRIES,
+  GS_EVENT_EDIT,
+  GS_EVENT_POSITION,
+  GS_EVENT_COPY,
+  GS_EVENT_CLAIM,
+  GS_EVENT_CLAIM_COVERED,
+  GS_EVENT_APPEND_FAILED,
+  GS_EVENT_PROBE,
+  GS_EVENT_JOIN,
+  GS_EVENT_EVIDENCE,
+  GS_EVENT_CRASH,
+  GS_EVENT_UPSTREAM_SIGN,
+  GS_EVENT_STOP,
+} GsEventKind;
+
+/** A request that has come whole. */
+typedef struct
+{
+  uint64_t request; /**< unique for the life of the daemon */
+  const char *host;
+  const char *path;
+  uint64_t fingerprint; /**< of method, path and body */
+  uint32_t timeout_ms;  /**< asked for by the caller; 0: the route's */
+  bool hop;             /**< forwarded by another daemon */
+  GsRight right;
+} GsRequestEvent;
+
+typedef struct
+{
+  uint64_t attempt;
+  GsOutcome outcome;
+  int64_t answer_us; /**< time to the first byte of the answer */
+  bool committed;    /**< part of the answer has been passed on to the caller */
+  bool kept_connection;
+} GsAttemptEndEvent;
+
+typedef struct
+{
+  uint64_t request;
+  const char *host; /**< NULL: any daemons */
+  const char *path;
+} GsEntriesEvent;
+
+typedef struct
+{
+  uint64_t from;     /**< 0 for a whole copy */
+  uint64_t position; /**< reached by the copy */
+  const GsCopyEntry *entries;
+  GsDocument **documents; /**< parsed tables of `entries`; ownership passes */
+  uint32_t n_entries;
+} GsCopyEvent;
+
+typedef struct
+{
+  char from[GS_NAME_MAX + 1]; /**< daemon */
+  uint64_t pool;              /**< gs_core_pool_key */
+  char upstream[GS_NAME_MAX + 1];
+  double score_nats;
+} GsEvidence;
+
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t crash; /**< unique number of the crash; 0 when the suspect is cleared */
+} GsCrashNews;
+
+/** What the platform's list, a peer or an upstream itself says of an upstream. */
+typedef struct
+{
+  char upstream[GS_NAME_MAX + 1];
+  bool leaving;
+  bool tell_peers;
+} GsUpstreamSign;
+
+/** One event. */
+typedef struct
+{
+  GsEventKind kind;
+  int64_t now_us;
+  union
+  {
+    GsRequestEvent request;
+    uint64_t attempt_began; /**< attempt whose answer has begun to be passed on */
+    GsAttemptEndEvent attempt_end;
+    uint64_t caller_left; /**< request */
+    GsEntriesEvent entries;
+    struct
+    {
+      uint64_t offset;
+      GsEdit edit;
+    } edit;
+    struct
+    {
+      uint64_t position;
+      bool from_start; /**< the log was read from offset 0 */
+    } position;
+    GsCopyEvent copy;
+    struct
+    {
+      uint32_t partition;
+      int64_t log_ms;
+      GsClaimRecord record;
+    } claim;
+    struct
+    {
+      uint32_t partition;
+      int64_t from_ms;
+      int64_t log_now_ms;
+      int64_t retention_ms;
+      bool caught_up; /**< every record that the log held has been folded */
+    } claim_covered;
+    struct
+    {
+      uint64_t claim;
+      bool certain; /**< true when the record certainly is not in the log */
+    } append_failed;
+    const GsProbe *probe;
+    GsPeerAddress join;
+    GsEvidence evidence;
+    GsCrashNews crash;
+    GsUpstreamSign sign;
+  };
+} GsEvent;
+
+typedef enum
+{
+  GS_EFFECT_ATTEMPT = 0,
+  GS_EFFECT_ANSWER,
+  GS_EFFECT_KEPT_ANSWER,
+  GS_EFFECT_REJECT,
+  GS_EFFECT_ENTRIES,
+  GS_EFFECT_APPEND_CLAIM,
+  GS_EFFECT_PROBE,
+  GS_EFFECT_EVIDENCE,
+  GS_EFFECT_CRASH,
+  GS_EFFECT_SIGN,
+  GS_EFFECT_DROP_CONNECTIONS,
+  GS_EFFECT_EDIT_RESULT,
+  GS_EFFECT_NOTICE,
+} GsEffectKind;
+
+/** Send the request to an upstream or, when `forward`, to another daemon. */
+typedef struct
+{
+  uint64_t request;
+  uint64_t attempt;
+  char target[GS_NAME_MAX + 1];
+  uint32_t ipv4;
+  uint16_t port;
+  bool forward;
+  bool with_right; /**< pass the right on with a forwarded request */
+  int64_t timeout_us;
+  int64_t deadline_us;
+} GsAttemptEffect;
+
+typedef struct
+{
+  uint64_t request;
+  GsVerdict verdict;
+  uint16_t status;    /**< HTTP status */
+  const char *reason; /**< static text */
+} GsRejectEffect;
+
+/** Answer to the address question. */
+typedef struct
+{
+  uint64_t request;
+  GsMemberFact members[GS_ENTRIES_MAX];
+  uint32_t n_members;
+  int64_t life_us;
+  uint64_t ticket; /**< 0: none */
+  bool ask_home;   /**< the question is better put to members[0], which can issue a ticket */
+  bool unavailable;
+  GsRepeat repeat;
+} GsEntriesEffect;
+
+/** One effect. */
+typedef struct
+{
+  GsEffectKind kind;
+  GsPeerAddress to; /**< of the effects that are messages */
+  union
+  {
+    GsAttemptEffect attempt;
+    uint64_t answer; /**< request; also of GS_EFFECT_KEPT_ANSWER */
+    GsRejectEffect reject;
+    GsEntriesEffect entries;
+    GsClaimRecord claim;
+    GsProbe probe;
+    GsEvidence evidence;
+    GsCrashNews crash;
+    GsUpstreamSign sign;
+    GsPeerAddress drop; /**< ipv4 and port of the upstream */
+    struct
+    {
+      uint64_t submission;
+      GsEditResult result;
+      uint64_t revision;
+    } edit_result;
+    struct
+    {
+      GsNotice number;
+      char text[GS_NOTICE_TEXT_MAX];
+    } notice;
+  };
+} GsEffect;
+
+typedef struct GsEffects GsEffects;
+
+GsEffects *gs_effects_new (void);
+void gs_effects_free (GsEffects *effects);
+uint32_t gs_effects_count (const GsEffects *effects);
+const GsEffect *gs_effects_get (const GsEffects *effects, uint32_t index);
+
+/** Forgets all effects and what they own. */
+void gs_effects_clear (GsEffects *effects);
+
+/** Construction options. */
+typedef struct
+{
+  GsMemberFact self;
+  uint64_t seed;
+  const GsDetectorClass *detector; /**< NULL: the sequential test */
+  double detector_threshold;       /**< nats; 0: by the pool's cost */
+  GsLevel notice_level;            /**< graver or equal notices become effects; 0: none */
+  bool keep_evidence;              /**< do not tell other homes of evidence (measurement only) */
+  int32_t homes;                   /**< overrides the pools' home sets; 0: as in the tables */
+} GsCoreOptions;
+
+typedef struct GsCore GsCore;
+
+GsCore *gs_core_new (const GsCoreOptions *options);
+void gs_core_free (GsCore *core);
+
+/** Takes EVENT in and adds the effects it calls for to EFFECTS. */
+void gs_core_reduce (GsCore *core, const GsEvent *event, GsEffects *effects);
+
+/** RETURN VALUE: requests received and not yet answered. */
+uint32_t gs_core_in_flight (const GsCore *core);
+
+/** RETURN VALUE: true when this daemon has the tables and is neither isolated nor stopping. */
+bool gs_core_ready (const GsCore *core);
+
+/** RETURN VALUE: state for the administration API; owned by the core. */
+const GsTable *gs_core_table (const GsCore *core);
+const GsFold *gs_core_fold (const GsCore *core);
+const GsMembers *gs_core_members (const GsCore *core);
+
+/** RETURN VALUE: the pool's run-time state at this daemon, or NULL where it has none. */
+const GsPool *gs_core_pool (const GsCore *core, const char *workspace, const char *pool);
+
+/** RETURN VALUE: a key that names a pool in peer messages. */
+uint64_t gs_core_pool_key (const char *workspace, const char *pool);
+
+/** Writes the member indexes of a pool's home set to INDEXES (at least 16). RETURN VALUE: how many.
+ */
+uint32_t gs_core_homes (const GsCore *core, const GsPoolRow *pool, uint32_t *indexes);
+
+/** RETURN VALUE: true when this daemon is the one that claims keys of PARTITION at the moment. */
+bool gs_core_owns_partition (const GsCore *core, uint32_t partition);
+
+/** RETURN VALUE: true while a request here waits for a record of PARTITION. */
+bool gs_core_waits_for_partition (const GsCore *core, uint32_t partition);
+
+#endif
--- /dev/null
+++ b/src/gentian/core/core_private.h
@@ -0,0 +1,166 @@
+/**
+ * NAME
+ *   core_private - state that the parts of the reducer share
+ *
+ * DESCRIPTION
+ *   For core.c, request.c, right.c and effects.c only. core.c takes events apart, request.c follows
+ * a request from arrival to answer, right.c handles tickets and claims, effects.c builds effects.
+ */
+#ifndef GS_CORE_PRIVATE_H
+#define GS_CORE_PRIVATE_H
+
+#include <glib.h>
+
+#include "budget.h"
+#include "core.h"
+#include "crash.h"
+#include "queue.h"
+
+enum
+{
+  CORE_HOMES_MAX = 16,
+  CORE_ATTEMPTS_MAX = 3, /* attempts of one request at one daemon */
+};
+
+/* A pool at this daemon: with run-time state where it serves, without where it only forwards. */
+typedef struct
+{
+  uint64_t key;
+  char *workspace;
+  char *name;
+  GsPool *pool; /* NULL until the daemon serves the pool */
+  GsQueue *queue;
+  GsBudget budget;
+  uint32_t homes[CORE_HOMES_MAX];
+  uint32_t n_homes;
+  uint64_t homes_epoch;
+  uint64_t homes_revision;
+  bool is_home;
+} PoolState;
+
+typedef enum
+{
+  REQUEST_NEW = 0,
+  REQUEST_WAITS_FOR_LOG, /* for its partition to be read, or its claim to be read back */
+  REQUEST_QUEUED,
+  REQUEST_RUNNING,
+  REQUEST_RELEASING, /* did not run; its release is on its way to the log */
+} RequestPhase;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t fingerprint;
+  uint64_t flow;
+  PoolState *pool;
+  GsRepeat repeat;
+  uint16_t weight;
+  int64_t attempt_timeout_us;
+  int64_t deadline_us;
+  int64_t arrived_us;
+  uint64_t tried[CORE_ATTEMPTS_MAX + 1]; /* upstream keys, or hashes of daemons' ids */
+  uint8_t n_tried;
+  uint8_t n_attempts;
+  GsVerdict worst; /* gravest verdict of its attempts */
+  bool hop;
+  RequestPhase phase;
+  GsRight right;
+  GsKey key;
+  uint64_t claim;
+  bool ticket_used;
+  const char *reject_reason;
+} Request;
+
+typedef struct
+{
+  uint64_t id;
+  uint64_t request;
+  PoolState *pool;
+  uint64_t upstream; /* key */
+  uint64_t fingerprint;
+  int64_t started_us;
+  bool forward;
+  bool counted; /* as overdue */
+  bool began;   /* its answer is being passed on */
+  char target[GS_NAME_MAX + 1];
+} Attempt;
+
+/* Last crash seen at an upstream. */
+typedef struct
+{
+  uint64_t crash;
+  int64_t at_us;
+} CrashSite;
+
+struct GsCore
+{
+  GsCoreOptions options;
+  GsRandom random;
+  GsTable *table;
+  GsFold *fold;
+  GsMembers *members;
+  GHashTable *pools;       /* key -> PoolState */
+  GHashTable *requests;    /* id -> Request */
+  GHashTable *attempts;    /* id -> Attempt */
+  GHashTable *crash_sites; /* upstream key -> CrashSite */
+  GHashTable *own_claims;  /* claim -> request id, 0 when nobody waits for it */
+  GsCrashes *crashes;
+  GsTickets *tickets;
+  GsClaims *claims[GS_CLAIM_PARTITIONS]; /* NULL until needed */
+  uint64_t next_attempt;
+  uint64_t next_claim;
+  uint64_t next_crash;
+  int64_t now_us;
+  int64_t next_evidence_us;
+  int64_t log_now_ms;
+  uint64_t seen_epoch;
+  bool was_ready;
+  bool stopping;
+  GsEffects *effects; /* of the event being reduced */
+};
+
+/* effects.c */
+GsEffect *core_add_effect (GsCore *core, GsEffectKind kind);
+void core_notice (GsCore *core, GsNotice number, const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+/* core.c */
+PoolState *core_pool_state (GsCore *core, const GsPoolRow *row);
+GsPool *core_serve_pool (GsCore *core, PoolState *state);
+void core_refresh_homes (GsCore *core, PoolState *state);
+void core_report_changes (GsCore *core, PoolState *state);
+GsPeerAddress core_address_of (const GsMemberFact *fact);
+void core_tell_homes (GsCore *core, PoolState *state, const GsEffect *effect);
+
+/* request.c */
+void request_arrive (GsCore *core, const GsRequestEvent *event);
+void request_dispatch (GsCore *core, Request *request);
+void
+request_forward_to (GsCore *core, Request *request, const GsMemberFact *member, bool with_right);
+void request_attempt_began (GsCore *core, uint64_t id);
+void request_attempt_end (GsCore *core, const GsAttemptEndEvent *event);
+void request_caller_left (GsCore *core, uint64_t id);
+void request_reject (GsCore *core,
+                     Request *request,
+                     GsVerdict verdict,
+                     uint16_t status,
+                     const char *reason);
+void request_kept_answer (GsCore *core, Request *request);
+void request_serve_waiting (GsCore *core, PoolState *state);
+void request_tick (GsCore *core);
+Request *request_find (GsCore *core, uint64_t id);
+
+/* right.c */
+void right_begin (GsCore *core, Request *request);
+bool right_not_run (GsCore *core, Request *request, const char *reason);
+void right_answered (GsCore *core, Request *request);
+void right_fold (GsCore *core, uint32_t partition, const GsClaimRecord *record, int64_t log_ms);
+void right_covered (GsCore *core,
+                    uint32_t partition,
+                    int64_t from_ms,
+                    int64_t log_now_ms,
+                    int64_t retention_ms);
+void right_caught_up (GsCore *core, uint32_t partition);
+void right_append_failed (GsCore *core, uint64_t claim, bool certain);
+void right_deadline (GsCore *core, Request *request);
+
+#endif
--- /dev/null
+++ b/src/gentian/core/crash.c
@@ -0,0 +1,97 @@
+#include "crash.h"
+
+#include <glib.h>
+
+typedef struct
+{
+  uint64_t fingerprint;
+  uint64_t crashes[GS_CRASH_LIMIT];
+  uint32_t n_crashes;
+  int64_t at_us;
+} Suspect;
+
+struct GsCrashes
+{
+  Suspect suspects[GS_CRASH_SUSPECTS_MAX];
+  uint32_t length;
+};
+
+GsCrashes *
+gs_crashes_new (void)
+{
+  return g_new0 (GsCrashes, 1);
+}
+
+void
+gs_crashes_free (GsCrashes *crashes)
+{
+  g_free (crashes);
+}
+
+static Suspect *
+find (const GsCrashes *crashes, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < crashes->length; i++)
+    if (crashes->suspects[i].fingerprint == fingerprint)
+      return (Suspect *)&crashes->suspects[i];
+  return NULL;
+}
+
+static Suspect *
+add (GsCrashes *crashes, uint64_t fingerprint)
+{
+  Suspect *place = &crashes->suspects[0];
+
+  for (uint32_t i = 1; i < crashes->length; i++)
+    if (crashes->suspects[i].at_us < place->at_us)
+      place = &crashes->suspects[i];
+  if (crashes->length < GS_CRASH_SUSPECTS_MAX)
+    place = &crashes->suspects[crashes->length++];
+  *place = (Suspect){ .fingerprint = fingerprint };
+  return place;
+}
+
+bool
+gs_crashes_suspect (GsCrashes *crashes, uint64_t fingerprint, uint64_t crash, int64_t now_us)
+{
+  Suspect *suspect = find (crashes, fingerprint);
+
+  if (suspect == NULL)
+    suspect = add (crashes, fingerprint);
+  else if (now_us - suspect->at_us > GS_CRASH_MEMORY_US)
+    suspect->n_crashes = 0;
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
+    if (suspect->crashes[i] == crash)
+      return false;
+  suspect->at_us = now_us;
+  if (suspect->n_crashes < GS_CRASH_LIMIT)
+    suspect->crashes[suspect->n_crashes++] = crash;
+  return true;
+}
+
+bool
+gs_crashes_clear (GsCrashes *crashes, uint64_t fingerprint)
+{
+  Suspect *suspect = find (crashes, fingerprint);
+
+  if (suspect == NULL)
+    return false;
+  *suspect = crashes->suspects[--crashes->length];
+  return true;
+}
+
+uint32_t
+gs_crashes_count (const GsCrashes *crashes, uint64_t fingerprint, int64_t now_us)
+{
+  const Suspect *suspect = find (crashes, fingerprint);
+
+  if (suspect == NULL || now_us - suspect->at_us > GS_CRASH_MEMORY_US)
+    return 0;
+  return suspect->n_crashes;
+}
+
+bool
+gs_crashes_refused (const GsCrashes *crashes, uint64_t fingerprint, int64_t now_us)
+{
+  return gs_crashes_count (crashes, fingerprint, now_us) >= GS_CRASH_LIMIT;
+}
--- /dev/null
+++ b/src/gentian/core/crash.h
@@ -0,0 +1,47 @@
+/**
+ * NAME
+ *   crash - finds requests that crash the upstreams that run them
+ *
+ * DESCRIPTION
+ *   When an upstream drops its connections without an answer, every request in flight at it becomes
+ * a suspect, named by a fingerprint of its content. A suspect that is later answered is cleared,
+ * and the failure is then held against the upstream. A suspect of two crashes that was never
+ * answered is refused. Homes tell each other of crashes and of cleared suspects; crashes carry
+ * unique numbers, so a crash that is told twice counts once. Pure. Tested by test/unit/test_crash.c
+ * and test/property/prop_pool.cpp.
+ */
+#ifndef GS_CRASH_H
+#define GS_CRASH_H
+
+#include "base.h"
+
+enum
+{
+  GS_CRASH_LIMIT = 2,          /**< crashes after which a fingerprint is refused */
+  GS_CRASH_SUSPECTS_MAX = 512, /**< suspects kept; the oldest makes room */
+};
+
+#define GS_CRASH_MEMORY_US (600 * GS_US_PER_S) /**< how long a suspect is remembered */
+
+typedef struct GsCrashes GsCrashes;
+
+GsCrashes *gs_crashes_new (void);
+void gs_crashes_free (GsCrashes *crashes);
+
+/**
+ * Notes that FINGERPRINT was in flight during the crash numbered CRASH.
+ *
+ * RETURN VALUE: true when this crash was new for the fingerprint.
+ */
+bool gs_crashes_suspect (GsCrashes *crashes, uint64_t fingerprint, uint64_t crash, int64_t now_us);
+
+/** Notes that FINGERPRINT got an answer. RETURN VALUE: true when it had been a suspect. */
+bool gs_crashes_clear (GsCrashes *crashes, uint64_t fingerprint);
+
+/** RETURN VALUE: true when FINGERPRINT must not run any more. */
+bool gs_crashes_refused (const GsCrashes *crashes, uint64_t fingerprint, int64_t now_us);
+
+/** RETURN VALUE: crashes that FINGERPRINT is suspected of. */
+uint32_t gs_crashes_count (const GsCrashes *crashes, uint64_t fingerprint, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/gentian/core/effects.c
@@ -0,0 +1,94 @@
+#include "core_private.h"
+
+#include <stdarg.h>
+
+struct GsEffects
+{
+  GArray *effects; /* of GsEffect */
+};
+
+GsEffects *
+gs_effects_new (void)
+{
+  GsEffects *effects = g_new0 (GsEffects, 1);
+
+  effects->effects = g_array_new (FALSE, FALSE, sizeof (GsEffect));
+  return effects;
+}
+
+uint32_t
+gs_effects_count (const GsEffects *effects)
+{
+  return effects->effects->len;
+}
+
+const GsEffect *
+gs_effects_get (const GsEffects *effects, uint32_t index)
+{
+  return &g_array_index (effects->effects, GsEffect, index);
+}
+
+void
+gs_effects_clear (GsEffects *effects)
+{
+  for (guint i = 0; i < effects->effects->len; i++)
+    {
+      GsEffect *effect = &g_array_index (effects->effects, GsEffect, i);
+      if (effect->kind == GS_EFFECT_PROBE)
+        g_free (effect->probe.facts);
+    }
+  g_array_set_size (effects->effects, 0);
+}
+
+void
+gs_effects_free (GsEffects *effects)
+{
+  if (effects == NULL)
+    return;
+  gs_effects_clear (effects);
+  g_array_unref (effects->effects);
+  g_free (effects);
+}
+
+/* The effect stays valid until the next one is added. */
+GsEffect *
+core_add_effect (GsCore *core, GsEffectKind kind)
+{
+  GArray *effects = core->effects->effects;
+  GsEffect *effect;
+
+  g_array_set_size (effects, effects->len + 1);
+  effect = &g_array_index (effects, GsEffect, effects->len - 1);
+  effect->kind = kind;
+  effect->to = (GsPeerAddress){ 0 };
+  return effect;
+}
+
+static GsLevel
+notice_level (GsNotice number)
+{
+  switch (number)
+    {
+#define NOTICE_CASE(name, value, level, text)                                                      \
+  case GS_NOTICE_##name:                                                                           \
+    return level;
+      GS_NOTICES (NOTICE_CASE)
+#undef NOTICE_CASE
+    }
+  return GS_LEVEL_DEBUG;
+}
+
+void
+core_notice (GsCore *core, GsNotice number, const char *format, ...)
+{
+  GsEffect *effect;
+  va_list arguments;
+
+  if (notice_level (number) > core->options.notice_level)
+    return;
+  effect = core_add_effect (core, GS_EFFECT_NOTICE);
+  effect->notice.number = number;
+  va_start (arguments, format);
+  g_vsnprintf (effect->notice.text, sizeof effect->notice.text, format, arguments);
+  va_end (arguments);
+}
--- /dev/null
+++ b/src/gentian/core/fold.c
@@ -0,0 +1,227 @@
+#include "fold.h"
+
+#include <glib.h>
+#include <string.h>
+
+typedef struct
+{
+  char *workspace;
+  char *text;
+  uint64_t revision;
+  uint64_t submissions[GS_FOLD_SUBMISSIONS]; /* newest first */
+} Entry;
+
+struct GsFold
+{
+  GHashTable *entries; /* workspace -> Entry */
+  GsTable *table;      /* not owned */
+  uint64_t position;
+  bool complete;
+};
+
+const char *
+gs_edit_result_name (GsEditResult result)
+{
+  static const char *const names[]
+      = { "accepted", "conflict", "clash", "malformed", "repeated", "ignored" };
+  return names[result];
+}
+
+static void
+free_entry (gpointer data)
+{
+  Entry *entry = data;
+
+  g_free (entry->workspace);
+  g_free (entry->text);
+  g_free (entry);
+}
+
+GsFold *
+gs_fold_new (GsTable *table)
+{
+  GsFold *fold = g_new0 (GsFold, 1);
+
+  fold->entries = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_entry);
+  fold->table = table;
+  return fold;
+}
+
+void
+gs_fold_free (GsFold *fold)
+{
+  if (fold == NULL)
+    return;
+  g_hash_table_destroy (fold->entries);
+  g_free (fold);
+}
+
+static Entry *
+entry_of (GsFold *fold, const char *workspace)
+{
+  Entry *entry = g_hash_table_lookup (fold->entries, workspace);
+
+  if (entry != NULL)
+    return entry;
+  entry = g_new0 (Entry, 1);
+  entry->workspace = g_strdup (workspace);
+  g_hash_table_insert (fold->entries, entry->workspace, entry);
+  return entry;
+}
+
+static bool
+was_accepted (const Entry *entry, uint64_t submission)
+{
+  for (int i = 0; i < GS_FOLD_SUBMISSIONS; i++)
+    if (entry->submissions[i] == submission)
+      return true;
+  return false;
+}
+
+static GsEditResult
+judge (const GsFold *fold, const GsEdit *edit, uint64_t offset)
+{
+  const Entry *entry = g_hash_table_lookup (fold->entries, edit->workspace);
+  uint64_t current = entry != NULL ? entry->revision : 0;
+
+  if (!fold->complete || offset < fold->position)
+    return GS_EDIT_IGNORED;
+  if (entry != NULL && was_accepted (entry, edit->submission))
+    return GS_EDIT_REPEATED;
+  if (edit->base != current)
+    return GS_EDIT_CONFLICT;
+  if (edit->document == NULL)
+    return GS_EDIT_MALFORMED;
+  if (gs_table_clash (fold->table, edit->document) != NULL)
+    return GS_EDIT_CLASH;
+  return GS_EDIT_ACCEPTED;
+}
+
+static void
+put_in_force (GsFold *fold, const GsEdit *edit, uint64_t revision)
+{
+  Entry *entry = entry_of (fold, edit->workspace);
+
+  memmove (&entry->submissions[1], &entry->submissions[0],
+           (GS_FOLD_SUBMISSIONS - 1) * sizeof entry->submissions[0]);
+  entry->submissions[0] = edit->submission;
+  entry->revision = revision;
+  g_free (entry->text);
+  entry->text = g_strdup (edit->text);
+  edit->document->revision = revision;
+  gs_table_replace (fold->table, edit->document);
+}
+
+GsEditResult
+gs_fold_edit (GsFold *fold, uint64_t offset, GsEdit *edit, uint64_t *revision)
+{
+  GsEditResult result = judge (fold, edit, offset);
+
+  if (result == GS_EDIT_ACCEPTED)
+    put_in_force (fold, edit, offset + 1);
+  else
+    gs_document_free (edit->document);
+  edit->document = NULL;
+  gs_fold_advance (fold, offset + 1);
+  *revision = gs_fold_revision (fold, edit->workspace, NULL);
+  return result;
+}
+
+void
+gs_fold_advance (GsFold *fold, uint64_t position)
+{
+  if (fold->complete && position > fold->position)
+    fold->position = position;
+}
+
+void
+gs_fold_begin (GsFold *fold, uint64_t position)
+{
+  fold->complete = true;
+  gs_fold_advance (fold, position);
+}
+
+bool
+gs_fold_may_take (const GsFold *fold, uint64_t from, uint64_t position)
+{
+  if (!fold->complete)
+    return from == 0;
+  return from <= fold->position && position > fold->position;
+}
+
+bool
+gs_fold_take (GsFold *fold, const GsCopyEntry *copy, GsDocument *document)
+{
+  Entry *entry = g_hash_table_lookup (fold->entries, copy->workspace);
+
+  if (document == NULL || (entry != NULL && copy->revision <= entry->revision))
+    {
+      gs_document_free (document);
+      return false;
+    }
+  entry = entry_of (fold, copy->workspace);
+  entry->revision = copy->revision;
+  memcpy (entry->submissions, copy->submissions, sizeof entry->submissions);
+  g_free (entry->text);
+  entry->text = g_strdup (copy->text);
+  document->revision = copy->revision;
+  return gs_table_replace (fold->table, document);
+}
+
+void
+gs_fold_taken (GsFold *fold, uint64_t position)
+{
+  gs_fold_begin (fold, position);
+}
+
+void
+gs_fold_copy (const GsFold *fold,
+              uint64_t from,
+              void (*visit) (const GsCopyEntry *entry, void *data),
+              void *data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, fold->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Entry *entry = value;
+      GsCopyEntry copy
+          = { .workspace = entry->workspace, .text = entry->text, .revision = entry->revision };
+      if (entry->revision <= from)
+        continue;
+      memcpy (copy.submissions, entry->submissions, sizeof copy.submissions);
+      visit (&copy, data);
+    }
+}
+
+uint64_t
+gs_fold_position (const GsFold *fold)
+{
+  return fold->position;
+}
+
+bool
+gs_fold_complete (const GsFold *fold)
+{
+  return fold->complete;
+}
+
+uint64_t
+gs_fold_revision (const GsFold *fold, const char *workspace, const char **text)
+{
+  const Entry *entry = g_hash_table_lookup (fold->entries, workspace);
+
+  if (text != NULL)
+    *text = entry != NULL ? entry->text : NULL;
+  return entry != NULL ? entry->revision : 0;
+}
+
+bool
+gs_fold_accepted (const GsFold *fold, const char *workspace, uint64_t submission)
+{
+  const Entry *entry = g_hash_table_lookup (fold->entries, workspace);
+
+  return entry != NULL && was_accepted (entry, submission);
+}
--- /dev/null
+++ b/src/gentian/core/member.c
@@ -0,0 +1,706 @@
+#include "member.h"
+
+#include <glib.h>
+#include <string.h>
+
+enum
+{
+  MEMBER_FACT_SENDS = 10,         /* messages on which a new fact rides */
+  MEMBER_ISOLATED_MISSES = 3,     /* rings, of four, that must be silent */
+  MEMBER_DIGEST_MISMATCH_MAX = 6, /* messages in a row with another digest before a pull */
+};
+
+#define MEMBER_ACK_US (300 * GS_US_PER_MS)
+#define MEMBER_PULL_GAP_US (5 * GS_US_PER_S)
+#define MEMBER_BAD_PATH_US (5 * GS_US_PER_S)
+
+typedef struct
+{
+  GsMemberFact fact;
+  uint64_t hash;
+  int64_t since_us; /* of the state */
+  int64_t bad_path_until_us;
+  uint32_t sends_left;
+} Member;
+
+/* One probe on its way. */
+typedef struct
+{
+  uint64_t target; /* hash of the member; 0: none */
+  uint64_t sequence;
+  int64_t sent_us;
+  bool asked_others;
+  bool missed_last;
+} Ring;
+
+/* A ping made for another daemon. */
+typedef struct
+{
+  uint64_t sequence;
+  uint64_t origin_sequence;
+  GsPeerAddress origin;
+} Relay;
+
+enum
+{
+  MEMBER_RELAYS_MAX = 64
+};
+
+struct GsMembers
+{
+  GArray *members;     /* of Member; index 0 is this daemon */
+  GHashTable *by_hash; /* hash -> index + 1 */
+  GsMembersOptions options;
+  GsRandom random;
+  Ring rings[GS_MEMBER_RINGS];
+  Relay relays[MEMBER_RELAYS_MAX];
+  uint32_t next_relay;
+  uint64_t sequence;
+  uint64_t epoch;
+  uint64_t digest;
+  uint64_t position;
+  uint64_t best_position;
+  GsPeerAddress best_address;
+  int64_t next_period_us;
+  int64_t now_us;
+  int64_t next_pull_us;
+  uint32_t digest_mismatches;
+};
+
+static Member *
+member_at (const GsMembers *members, uint32_t index)
+{
+  return &g_array_index (members->members, Member, index);
+}
+
+static Member *
+find_hash (const GsMembers *members, uint64_t hash)
+{
+  guint index = GPOINTER_TO_UINT (g_hash_table_lookup (members->by_hash, &hash));
+
+  return index == 0 ? NULL : member_at (members, index - 1);
+}
+
+static uint64_t
+fact_digest (const GsMemberFact *fact)
+{
+  if (fact->state == GS_MEMBER_DEAD)
+    return 0;
+  return gs_mix64 (gs_hash_name (fact->id) ^ gs_mix64 (fact->incarnation)
+                   ^ ((uint64_t)fact->version << 16 | (uint64_t)fact->state << 8 | fact->ready));
+}
+
+static void
+store_fact (GsMembers *members, Member *member, const GsMemberFact *fact)
+{
+  members->digest ^= fact_digest (&member->fact);
+  if (member->fact.state != fact->state || member->fact.ready != fact->ready
+      || member->fact.incarnation != fact->incarnation)
+    {
+      members->epoch++;
+      member->since_us = members->now_us;
+    }
+  member->fact = *fact;
+  member->sends_left = MEMBER_FACT_SENDS;
+  members->digest ^= fact_digest (fact);
+}
+
+static Member *
+add_member (GsMembers *members, const GsMemberFact *fact)
+{
+  Member member = { .hash = gs_hash_name (fact->id), .since_us = members->now_us };
+  Member *place;
+
+  member.fact.state = GS_MEMBER_DEAD;
+  g_array_append_val (members->members, member);
+  g_hash_table_insert (members->by_hash, g_memdup2 (&member.hash, sizeof member.hash),
+                       GUINT_TO_POINTER (members->members->len));
+  place = member_at (members, members->members->len - 1);
+  store_fact (members, place, fact);
+  members->epoch++;
+  return place;
+}
+
+GsMembers *
+gs_members_new (const GsMembersOptions *options)
+{
+  GsMembers *members = g_new0 (GsMembers, 1);
+
+  members->members = g_array_new (FALSE, TRUE, sizeof (Member));
+  members->by_hash = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  members->options = *options;
+  members->random.state = options->seed;
+  add_member (members, &options->self);
+  return members;
+}
+
+void
+gs_members_free (GsMembers *members)
+{
+  if (members == NULL)
+    return;
+  g_array_unref (members->members);
+  g_hash_table_destroy (members->by_hash);
+  g_free (members);
+}
+
+/* Later facts replace earlier ones: by incarnation, then version, then the graver state. */
+static bool
+is_newer (const GsMemberFact *fact, const GsMemberFact *known)
+{
+  if (fact->incarnation != known->incarnation)
+    return fact->incarnation > known->incarnation;
+  if (fact->version != known->version)
+    return fact->version > known->version;
+  return fact->state > known->state;
+}
+
+static void
+refute (GsMembers *members, uint32_t version)
+{
+  Member *self = member_at (members, 0);
+  GsMemberFact fact = self->fact;
+
+  fact.version = version + 1;
+  store_fact (members, self, &fact);
+}
+
+static void
+take_fact (GsMembers *members, const GsMemberFact *fact)
+{
+  uint64_t hash = gs_hash_name (fact->id);
+  Member *member = find_hash (members, hash);
+
+  if (member == NULL)
+    {
+      if (fact->state != GS_MEMBER_DEAD)
+        add_member (members, fact);
+      return;
+    }
+  if (!is_newer (fact, &member->fact))
+    return;
+  if (member != member_at (members, 0))
+    store_fact (members, member, fact);
+  else if (fact->incarnation == member->fact.incarnation && fact->state >= GS_MEMBER_SUSPECT)
+    refute (members, fact->version);
+}
+
+/* Facts that have rides left, newest need first by position. */
+static void
+attach_facts (GsMembers *members, GsProbe *probe)
+{
+  uint32_t count = members->members->len;
+  uint32_t start = (uint32_t)(gs_random_next (&members->random) % count);
+
+  probe->facts = g_new (GsMemberFact, GS_MEMBER_FACTS_MAX);
+  for (uint32_t i = 0; i < count && probe->n_facts < GS_MEMBER_FACTS_MAX; i++)
+    {
+      Member *member = member_at (members, (start + i) % count);
+      if (member->sends_left == 0)
+        continue;
+      member->sends_left--;
+      probe->facts[probe->n_facts++] = member->fact;
+    }
+}
+
+static void
+send_probe (GsMembers *members,
+            const GsPeerAddress *to,
+            GsProbeKind kind,
+            uint64_t sequence,
+            const char *target)
+{
+  GsProbe probe = { .kind = kind,
+                    .sequence = sequence,
+                    .digest = members->digest,
+                    .position = members->position,
+                    .from = member_at (members, 0)->fact };
+
+  if (target != NULL)
+    g_strlcpy (probe.target, target, sizeof probe.target);
+  attach_facts (members, &probe);
+  members->options.sink (to, &probe, members->options.data);
+}
+
+static void
+send_all_members (GsMembers *members, const GsPeerAddress *to)
+{
+  uint32_t count = members->members->len;
+  GsProbe probe = { .kind = GS_PROBE_MEMBERS,
+                    .digest = members->digest,
+                    .position = members->position,
+                    .from = member_at (members, 0)->fact,
+                    .facts = g_new (GsMemberFact, count),
+                    .n_facts = count };
+
+  for (uint32_t i = 0; i < count; i++)
+    probe.facts[i] = member_at (members, i)->fact;
+  members->options.sink (to, &probe, members->options.data);
+}
+
+static GsPeerAddress
+address_of (const GsMemberFact *fact)
+{
+  return (GsPeerAddress){ .ipv4 = fact->ipv4, .peer_port = fact->peer_port };
+}
+
+static bool
+is_present (const Member *member)
+{
+  return member->fact.state != GS_MEMBER_DEAD;
+}
+
+static uint64_t
+ring_key (uint32_t ring, uint64_t hash)
+{
+  return gs_mix64 (hash ^ gs_mix64 (ring + 1));
+}
+
+/* Next present member after this daemon in the order of RING. */
+static Member *
+successor (const GsMembers *members, uint32_t ring)
+{
+  uint64_t own = ring_key (ring, member_at (members, 0)->hash);
+  Member *best = NULL;
+  uint64_t best_distance = 0;
+
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      Member *member = member_at (members, i);
+      uint64_t distance = ring_key (ring, member->hash) - own;
+      if (!is_present (member) || (best != NULL && distance >= best_distance))
+        continue;
+      best = member;
+      best_distance = distance;
+    }
+  return best;
+}
+
+static void
+start_probe (GsMembers *members, uint32_t index)
+{
+  Ring *ring = &members->rings[index];
+  Member *target = successor (members, index);
+  GsPeerAddress to;
+
+  *ring = (Ring){ .missed_last = ring->missed_last };
+  if (target == NULL)
+    {
+      ring->missed_last = false;
+      return;
+    }
+  ring->target = target->hash;
+  ring->sequence = ++members->sequence;
+  ring->sent_us = members->now_us;
+  to = address_of (&target->fact);
+  send_probe (members, &to, GS_PROBE_PING, ring->sequence, NULL);
+}
+
+static void
+ask_others (GsMembers *members, Ring *ring, const Member *target)
+{
+  uint32_t count = members->members->len;
+  uint32_t start = (uint32_t)(gs_random_next (&members->random) % count);
+  uint32_t asked = 0;
+
+  ring->asked_others = true;
+  for (uint32_t i = 0; i < count && asked < GS_MEMBER_HELPERS; i++)
+    {
+      uint32_t index = (start + i) % count;
+      Member *helper = member_at (members, index);
+      GsPeerAddress to = address_of (&helper->fact);
+      if (index == 0 || helper == target || helper->fact.state > GS_MEMBER_LEAVING)
+        continue;
+      send_probe (members, &to, GS_PROBE_REQUEST, ring->sequence, target->fact.id);
+      asked++;
+    }
+}
+
+bool
+gs_members_isolated (const GsMembers *members)
+{
+  uint64_t silent[GS_MEMBER_RINGS];
+  uint32_t missed = 0;
+  uint32_t targets = 0;
+
+  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
+    {
+      const Ring *ring = &members->rings[i];
+      targets += ring->target != 0 || ring->missed_last ? 1 : 0;
+      if (!ring->missed_last)
+        continue;
+      silent[missed] = ring->target;
+      missed++;
+    }
+  if (missed < MEMBER_ISOLATED_MISSES || targets < GS_MEMBER_RINGS)
+    return false;
+  for (uint32_t i = 1; i < missed; i++)
+    if (silent[i] != silent[0])
+      return true;
+  return false;
+}
+
+static void
+suspect (GsMembers *members, Member *target)
+{
+  GsMemberFact fact = target->fact;
+
+  if (fact.state >= GS_MEMBER_SUSPECT || gs_members_isolated (members))
+    return;
+  fact.state = GS_MEMBER_SUSPECT;
+  store_fact (members, target, &fact);
+}
+
+/* Judges the probe of the period that ends. */
+static void
+finish_probe (GsMembers *members, uint32_t index)
+{
+  Ring *ring = &members->rings[index];
+  Member *target = ring->target != 0 ? find_hash (members, ring->target) : NULL;
+  bool missed = target != NULL && ring->sequence != 0;
+
+  if (target == NULL)
+    return;
+  ring->missed_last = missed;
+  if (missed)
+    {
+      target->bad_path_until_us = members->now_us + MEMBER_BAD_PATH_US;
+      suspect (members, target);
+    }
+}
+
+static void
+tick_states (GsMembers *members)
+{
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      Member *member = member_at (members, i);
+      GsMemberFact fact = member->fact;
+      if (fact.state != GS_MEMBER_SUSPECT
+          || members->now_us - member->since_us < GS_MEMBER_SUSPICION_US)
+        continue;
+      fact.state = GS_MEMBER_DEAD;
+      store_fact (members, member, &fact);
+    }
+}
+
+/* Removes members that have been dead long; their index goes to the last one. */
+static void
+bury (GsMembers *members)
+{
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      Member *member = member_at (members, i);
+      uint64_t moved;
+      if (is_present (member) || members->now_us - member->since_us < GS_MEMBER_TOMBSTONE_US)
+        continue;
+      g_hash_table_remove (members->by_hash, &member->hash);
+      g_array_remove_index_fast (members->members, i);
+      members->epoch++;
+      if (i == members->members->len)
+        return;
+      moved = member_at (members, i)->hash;
+      g_hash_table_replace (members->by_hash, g_memdup2 (&moved, sizeof moved),
+                            GUINT_TO_POINTER (i + 1));
+      i--;
+    }
+}
+
+static void
+begin_period (GsMembers *members)
+{
+  members->next_period_us = members->now_us + GS_MEMBER_PERIOD_US;
+  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
+    finish_probe (members, i);
+  tick_states (members);
+  bury (members);
+  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
+    start_probe (members, i);
+  members->best_position = members->best_position > members->position ? members->best_position : 0;
+}
+
+void
+gs_members_tick (GsMembers *members, int64_t now_us)
+{
+  members->now_us = now_us;
+  if (now_us >= members->next_period_us)
+    begin_period (members);
+  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
+    {
+      Ring *ring = &members->rings[i];
+      Member *target = ring->sequence != 0 ? find_hash (members, ring->target) : NULL;
+      if (target != NULL && !ring->asked_others && now_us - ring->sent_us >= MEMBER_ACK_US / 2)
+        ask_others (members, ring, target);
+    }
+}
+
+static void
+relay_ping (GsMembers *members, const GsProbe *probe)
+{
+  Member *target = find_hash (members, gs_hash_name (probe->target));
+  Relay *relay = &members->relays[members->next_relay++ % MEMBER_RELAYS_MAX];
+  GsPeerAddress to;
+
+  if (target == NULL)
+    return;
+  *relay = (Relay){ .sequence = ++members->sequence,
+                    .origin_sequence = probe->sequence,
+                    .origin = address_of (&probe->from) };
+  to = address_of (&target->fact);
+  send_probe (members, &to, GS_PROBE_PING, relay->sequence, NULL);
+}
+
+static void
+take_ack (GsMembers *members, const GsProbe *probe)
+{
+  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
+    {
+      Ring *ring = &members->rings[i];
+      Member *target;
+      if (ring->sequence == 0 || ring->sequence != probe->sequence)
+        continue;
+      ring->sequence = 0;
+      ring->missed_last = false;
+      target = find_hash (members, ring->target);
+      if (target == NULL)
+        continue;
+      target->bad_path_until_us = strcmp (probe->from.id, target->fact.id) == 0
+                                      ? 0 /* answered directly */
+                                      : members->now_us + MEMBER_BAD_PATH_US;
+    }
+  for (uint32_t i = 0; i < MEMBER_RELAYS_MAX; i++)
+    {
+      Relay *relay = &members->relays[i];
+      if (relay->sequence == 0 || relay->sequence != probe->sequence)
+        continue;
+      relay->sequence = 0;
+      send_probe (members, &relay->origin, GS_PROBE_ACK, relay->origin_sequence, NULL);
+    }
+}
+
+static void
+compare_digest (GsMembers *members, const GsProbe *probe)
+{
+  GsPeerAddress from = address_of (&probe->from);
+
+  if (probe->digest == members->digest)
+    {
+      members->digest_mismatches = 0;
+      return;
+    }
+  if (++members->digest_mismatches < MEMBER_DIGEST_MISMATCH_MAX
+      || members->now_us < members->next_pull_us)
+    return;
+  members->digest_mismatches = 0;
+  members->next_pull_us = members->now_us + MEMBER_PULL_GAP_US;
+  send_probe (members, &from, GS_PROBE_PULL, 0, NULL);
+}
+
+void
+gs_members_receive (GsMembers *members, const GsProbe *probe, int64_t now_us)
+{
+  GsPeerAddress from = address_of (&probe->from);
+
+  members->now_us = now_us;
+  take_fact (members, &probe->from);
+  for (uint32_t i = 0; i < probe->n_facts; i++)
+    take_fact (members, &probe->facts[i]);
+  if (probe->position > members->best_position)
+    {
+      members->best_position = probe->position;
+      members->best_address = from;
+    }
+  switch (probe->kind)
+    {
+    case GS_PROBE_PING:
+      send_probe (members, &from, GS_PROBE_ACK, probe->sequence, NULL);
+      compare_digest (members, probe);
+      break;
+    case GS_PROBE_ACK:
+      take_ack (members, probe);
+      compare_digest (members, probe);
+      break;
+    case GS_PROBE_REQUEST:
+      relay_ping (members, probe);
+      break;
+    case GS_PROBE_PULL:
+      send_all_members (members, &from);
+      break;
+    case GS_PROBE_MEMBERS:
+      break;
+    }
+}
+
+void
+gs_members_join (GsMembers *members, const GsPeerAddress *address)
+{
+  send_probe (members, address, GS_PROBE_PULL, 0, NULL);
+}
+
+static void
+announce (GsMembers *members, GsMemberState state, bool ready)
+{
+  Member *self = member_at (members, 0);
+  GsMemberFact fact = self->fact;
+
+  if (fact.state == state && fact.ready == (ready ? 1 : 0))
+    return;
+  fact.state = (uint8_t)state;
+  fact.ready = ready ? 1 : 0;
+  fact.version++;
+  store_fact (members, self, &fact);
+  members->next_period_us = 0; /* spread it now */
+}
+
+void
+gs_members_set_ready (GsMembers *members, bool ready)
+{
+  announce (members, (GsMemberState)member_at (members, 0)->fact.state, ready);
+}
+
+void
+gs_members_leave (GsMembers *members)
+{
+  announce (members, GS_MEMBER_LEAVING, member_at (members, 0)->fact.ready != 0);
+}
+
+void
+gs_members_set_position (GsMembers *members, uint64_t position)
+{
+  members->position = position;
+}
+
+uint64_t
+gs_members_best_position (const GsMembers *members, GsPeerAddress *address)
+{
+  *address = members->best_address;
+  return members->best_position;
+}
+
+uint64_t
+gs_members_epoch (const GsMembers *members)
+{
+  return members->epoch;
+}
+
+uint32_t
+gs_members_count (const GsMembers *members)
+{
+  return members->members->len;
+}
+
+const GsMemberFact *
+gs_members_get (const GsMembers *members, uint32_t index)
+{
+  return &member_at (members, index)->fact;
+}
+
+const GsMemberFact *
+gs_members_find (const GsMembers *members, const char *id)
+{
+  const Member *member = find_hash (members, gs_hash_name (id));
+
+  return member == NULL ? NULL : &member->fact;
+}
+
+bool
+gs_members_reachable (const GsMembers *members, uint32_t index)
+{
+  return member_at (members, index)->bad_path_until_us <= members->now_us;
+}
+
+void
+gs_members_note_path (GsMembers *members, const char *id, bool works, int64_t now_us)
+{
+  Member *member = find_hash (members, gs_hash_name (id));
+
+  if (member != NULL)
+    member->bad_path_until_us = works ? 0 : now_us + MEMBER_BAD_PATH_US;
+}
+
+static bool
+may_be_home (const Member *member)
+{
+  return member->fact.state == GS_MEMBER_ALIVE && member->fact.ready != 0;
+}
+
+static bool
+domain_taken (const GsMembers *members,
+              const uint32_t *indexes,
+              uint32_t count,
+              const Member *member)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (member_at (members, indexes[i])->fact.failure_domain, member->fact.failure_domain)
+        == 0)
+      return true;
+  return false;
+}
+
+static bool
+already_picked (const uint32_t *indexes, uint32_t count, uint32_t index)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (indexes[i] == index)
+      return true;
+  return false;
+}
+
+static int64_t
+best_home (const GsMembers *members,
+           uint64_t key,
+           const uint32_t *indexes,
+           uint32_t picked,
+           bool new_domain)
+{
+  int64_t best = -1;
+  uint64_t best_weight = 0;
+
+  for (uint32_t i = 0; i < members->members->len; i++)
+    {
+      const Member *member = member_at (members, i);
+      uint64_t weight = gs_mix64 (member->hash ^ key);
+      if (!may_be_home (member) || (best >= 0 && weight <= best_weight)
+          || already_picked (indexes, picked, i)
+          || (new_domain && domain_taken (members, indexes, picked, member)))
+        continue;
+      best = i;
+      best_weight = weight;
+    }
+  return best;
+}
+
+uint32_t
+gs_members_homes (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes)
+{
+  uint32_t picked = 0;
+
+  while (picked < count)
+    {
+      int64_t best = best_home (members, key, indexes, picked, true);
+      if (best < 0)
+        best = best_home (members, key, indexes, picked, false);
+      if (best < 0)
+        break;
+      indexes[picked++] = (uint32_t)best;
+    }
+  return picked;
+}
+
+uint32_t
+gs_members_domain_rank (const GsMembers *members, uint64_t key)
+{
+  const Member *self = member_at (members, 0);
+  uint64_t own = gs_mix64 (self->hash ^ key);
+  uint32_t rank = 0;
+
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      const Member *member = member_at (members, i);
+      if (member->fact.state == GS_MEMBER_ALIVE
+          && strcmp (member->fact.failure_domain, self->fact.failure_domain) == 0
+          && gs_mix64 (member->hash ^ key) > own)
+        rank++;
+    }
+  return rank;
+}
--- /dev/null
+++ b/src/gentian/core/pool.c
@@ -0,0 +1,746 @@
+#include "pool.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  POOL_SILENT_BEFORE_BLAME = 1,  /* silent kept connections that are not held against an upstream */
+  POOL_UNREACHABLE_IN_A_ROW = 2, /* failed connects in a row that take an upstream out */
+};
+
+#define POOL_HOLD_FIRST_US (2 * GS_US_PER_S)
+#define POOL_HOLD_MAX_US (120 * GS_US_PER_S)
+#define POOL_HOLD_UNREACHABLE_US (GS_US_PER_S / 2)
+#define POOL_WARM_US (5 * GS_US_PER_S)
+/** An upstream that stayed healthy this long starts again with the first hold time. */
+#define POOL_CALM_US (120 * GS_US_PER_S)
+#define POOL_PEER_EVIDENCE_US GS_US_PER_S
+/** The platform's list may name a leaving upstream as live for this long. */
+#define POOL_LIST_LAG_US (60 * GS_US_PER_S)
+#define POOL_SHED_BACKOFF_US (50 * GS_US_PER_MS)
+#define POOL_LATENCY_FIRST_US (20 * GS_US_PER_MS)
+#define POOL_OVERDUE_MIN_US (100 * GS_US_PER_MS)
+/** An attempt is overdue after this many times the pool's typical time. */
+#define POOL_OVERDUE_FACTOR 12
+/** Weight of the newest answer in the moving average of answer times. */
+#define POOL_LATENCY_WEIGHT 0.1
+/** Own share of the evidence that an ejection needs when other homes accuse too. */
+#define POOL_OWN_EVIDENCE_SHARE 0.2
+/** An upstream counts as accused, for the test whether the whole pool is, from this share on. */
+#define POOL_ACCUSED_SHARE 0.4
+/** Part of an even share of the slots that a home may use beyond it. */
+#define POOL_LENT_SHARE 0.5
+
+typedef struct
+{
+  double score_nats;
+  int64_t at_us;
+} PeerEvidence;
+
+typedef struct
+{
+  char *id;
+  const char *failure_domain;
+  const char *reason;
+  uint32_t ipv4;
+  uint16_t port;
+  GsUpstreamState state;
+  uint32_t outstanding;
+  uint16_t silent;
+  uint16_t unreachable;
+  int64_t hold_us;
+  int64_t hold_until_us;
+  int64_t warm_from_us;
+  int64_t healthy_from_us;
+  int64_t shed_until_us;
+  int64_t left_at_us;
+  double latency_us;
+  PeerEvidence peers[GS_POOL_PEERS_MAX];
+} Upstream;
+
+struct GsPool
+{
+  GsPoolRow row; /* scalars and name only */
+  GsPoolOptions options;
+  GsDetector *detector;
+  Upstream *upstreams;
+  uint16_t n_upstreams;
+  uint8_t sharers;
+  uint32_t outstanding;
+  double latency_us;
+  GsPoolChange changes[GS_POOL_CHANGES_MAX];
+  uint32_t n_changes;
+};
+
+const char *
+gs_upstream_state_name (GsUpstreamState state)
+{
+  static const char *const names[] = { "healthy", "warming", "ejected", "trial", "leaving" };
+  return names[state];
+}
+
+static bool
+in_rotation (const Upstream *upstream)
+{
+  return upstream->state == GS_UPSTREAM_HEALTHY || upstream->state == GS_UPSTREAM_WARMING;
+}
+
+uint16_t
+gs_pool_in_rotation (const GsPool *pool)
+{
+  uint16_t count = 0;
+
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    count += in_rotation (&pool->upstreams[i]) ? 1 : 0;
+  return count;
+}
+
+uint16_t
+gs_pool_floor (const GsPool *pool)
+{
+  uint32_t floor = ((uint32_t)pool->n_upstreams * pool->row.floor_percent + 99) / 100;
+
+  return (uint16_t)MAX (floor, 1);
+}
+
+static void
+change_state (GsPool *pool, uint16_t index, GsUpstreamState to, const char *reason)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  if (pool->n_changes < GS_POOL_CHANGES_MAX)
+    pool->changes[pool->n_changes++]
+        = (GsPoolChange){ .upstream = index,
+                          .from = upstream->state,
+                          .to = to,
+                          .reason = reason,
+                          .score_nats = gs_detector_score (pool->detector, index) };
+  upstream->state = to;
+  upstream->reason = reason;
+}
+
+uint32_t
+gs_pool_take_changes (GsPool *pool, GsPoolChange *changes, uint32_t max)
+{
+  uint32_t count = MIN (pool->n_changes, max);
+
+  memcpy (changes, pool->changes, count * sizeof *changes);
+  pool->n_changes = 0;
+  return count;
+}
+
+static void
+start_warming (GsPool *pool, uint16_t index, int64_t now_us, const char *reason)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  gs_detector_settle (pool->detector, index);
+  memset (upstream->peers, 0, sizeof upstream->peers);
+  upstream->warm_from_us = now_us;
+  upstream->healthy_from_us = now_us;
+  upstream->latency_us = pool->latency_us;
+  change_state (pool, index, GS_UPSTREAM_WARMING, reason);
+}
+
+/* Least accused ejected upstream, or -1. */
+static int
+least_accused (const GsPool *pool)
+{
+  int best = -1;
+
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    {
+      GsUpstreamState state = pool->upstreams[i].state;
+      if (state != GS_UPSTREAM_EJECTED && state != GS_UPSTREAM_TRIAL)
+        continue;
+      if (best < 0
+          || gs_detector_score (pool->detector, i)
+                 < gs_detector_score (pool->detector, (uint16_t)best))
+        best = i;
+    }
+  return best;
+}
+
+static void
+keep_floor (GsPool *pool, int64_t now_us)
+{
+  while (gs_pool_in_rotation (pool) < gs_pool_floor (pool))
+    {
+      int index = least_accused (pool);
+      if (index < 0)
+        return;
+      start_warming (pool, (uint16_t)index, now_us, "floor");
+      pool->upstreams[index].warm_from_us = now_us - POOL_WARM_US;
+    }
+}
+
+static void
+eject (GsPool *pool, uint16_t index, int64_t now_us, const char *reason, int64_t first_hold_us)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  if (!in_rotation (upstream) || gs_pool_in_rotation (pool) <= gs_pool_floor (pool))
+    return;
+  if (upstream->hold_us == 0 || now_us - upstream->healthy_from_us > POOL_CALM_US)
+    upstream->hold_us = first_hold_us;
+  else
+    upstream->hold_us = MIN (upstream->hold_us * 2, POOL_HOLD_MAX_US);
+  upstream->hold_until_us = now_us + upstream->hold_us;
+  change_state (pool, index, GS_UPSTREAM_EJECTED, reason);
+}
+
+static double
+peers_score (const Upstream *upstream, int64_t now_us)
+{
+  double sum = 0;
+
+  for (int i = 0; i < GS_POOL_PEERS_MAX; i++)
+    if (upstream->peers[i].at_us != 0 && now_us - upstream->peers[i].at_us < POOL_PEER_EVIDENCE_US)
+      sum += upstream->peers[i].score_nats;
+  return sum;
+}
+
+/* Own evidence, plus that of the other homes once the own evidence is a fair part of what is
+ * needed. */
+static double
+joint_score (const GsPool *pool, uint16_t index, int64_t now_us)
+{
+  double own = gs_detector_score (pool->detector, index);
+  double threshold = gs_detector_threshold (pool->detector);
+
+  if (own < threshold * POOL_OWN_EVIDENCE_SHARE)
+    return own;
+  return own + peers_score (&pool->upstreams[index], now_us);
+}
+
+static bool
+whole_pool_accused (const GsPool *pool, int64_t now_us)
+{
+  double limit = gs_detector_threshold (pool->detector) * POOL_ACCUSED_SHARE;
+  uint16_t accused = 0;
+
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (in_rotation (&pool->upstreams[i]) && joint_score (pool, i, now_us) >= limit)
+      accused++;
+  return accused * 2 > gs_pool_in_rotation (pool);
+}
+
+static void
+settle_all (GsPool *pool)
+{
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (in_rotation (&pool->upstreams[i]))
+      gs_detector_settle (pool->detector, i);
+}
+
+static void
+judge (GsPool *pool, uint16_t index, int64_t now_us)
+{
+  if (!in_rotation (&pool->upstreams[index])
+      || joint_score (pool, index, now_us) < gs_detector_threshold (pool->detector))
+    return;
+  if (pool->n_upstreams > 1 && whole_pool_accused (pool, now_us))
+    {
+      settle_all (pool);
+      return;
+    }
+  eject (pool, index, now_us, gs_detector_reason (pool->detector, index), POOL_HOLD_FIRST_US);
+}
+
+static void
+judge_trial (GsPool *pool, uint16_t index, int64_t now_us)
+{
+  Upstream *upstream = &pool->upstreams[index];
+  GsTrial result = gs_detector_trial (pool->detector, index);
+
+  if (result == GS_TRIAL_PASSED)
+    start_warming (pool, index, now_us, "trial-passed");
+  if (result != GS_TRIAL_FAILED)
+    return;
+  upstream->hold_us = MIN (upstream->hold_us * 2, POOL_HOLD_MAX_US);
+  upstream->hold_until_us = now_us + upstream->hold_us;
+  change_state (pool, index, GS_UPSTREAM_EJECTED, "trial-failed");
+}
+
+static void
+add_sample (GsPool *pool, uint16_t index, const GsSample *sample)
+{
+  gs_detector_sample (pool->detector, index, sample);
+  if (pool->upstreams[index].state == GS_UPSTREAM_TRIAL)
+    judge_trial (pool, index, sample->now_us);
+  else
+    judge (pool, index, sample->now_us);
+}
+
+static void
+add_failure (GsPool *pool, uint16_t index, int64_t now_us)
+{
+  GsSample sample = { .now_us = now_us, .failed = true };
+
+  add_sample (pool, index, &sample);
+}
+
+static void
+add_answer (GsPool *pool, uint16_t index, const GsEnd *end)
+{
+  Upstream *upstream = &pool->upstreams[index];
+  GsSample sample = { .now_us = end->now_us,
+                      .answer_us = end->answer_us,
+                      .time_counts = upstream->state != GS_UPSTREAM_WARMING };
+
+  upstream->silent = 0;
+  upstream->unreachable = 0;
+  upstream->latency_us += POOL_LATENCY_WEIGHT * ((double)end->answer_us - upstream->latency_us);
+  if (in_rotation (upstream))
+    pool->latency_us += POOL_LATENCY_WEIGHT / MAX (pool->n_upstreams, 1)
+                        * ((double)end->answer_us - pool->latency_us);
+  add_sample (pool, index, &sample);
+}
+
+static void
+note_unreachable (GsPool *pool, uint16_t index, int64_t now_us)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  upstream->unreachable++;
+  upstream->shed_until_us = now_us + POOL_SHED_BACKOFF_US;
+  if (upstream->state == GS_UPSTREAM_TRIAL)
+    {
+      upstream->hold_us = MIN (upstream->hold_us * 2, POOL_HOLD_MAX_US / 8);
+      upstream->hold_until_us = now_us + upstream->hold_us;
+      change_state (pool, index, GS_UPSTREAM_EJECTED, "unreachable");
+    }
+  else if (upstream->unreachable >= POOL_UNREACHABLE_IN_A_ROW)
+    eject (pool, index, now_us, "unreachable", POOL_HOLD_UNREACHABLE_US);
+}
+
+static void
+note_silent (GsPool *pool, uint16_t index, const GsEnd *end)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  if (upstream->silent++ < POOL_SILENT_BEFORE_BLAME)
+    return;
+  add_failure (pool, index, end->now_us);
+}
+
+void
+gs_pool_begin (GsPool *pool, uint16_t upstream)
+{
+  pool->upstreams[upstream].outstanding++;
+  pool->outstanding++;
+}
+
+void
+gs_pool_end (GsPool *pool, uint16_t index, const GsEnd *end)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  upstream->outstanding--;
+  pool->outstanding--;
+  switch (end->outcome)
+    {
+    case GS_OUTCOME_OK:
+      add_answer (pool, index, end);
+      break;
+    case GS_OUTCOME_REFUSED:
+      upstream->shed_until_us = end->now_us + POOL_SHED_BACKOFF_US;
+      break;
+    case GS_OUTCOME_LEAVING:
+      gs_pool_leave (pool, upstream->id, end->now_us);
+      break;
+    case GS_OUTCOME_UNREACHABLE:
+      note_unreachable (pool, index, end->now_us);
+      break;
+    case GS_OUTCOME_SILENT:
+      if (!end->counted)
+        note_silent (pool, index, end);
+      break;
+    case GS_OUTCOME_CANCELLED:
+      break;
+    default:
+      if (!end->counted && !end->no_blame)
+        add_failure (pool, index, end->now_us);
+    }
+}
+
+void
+gs_pool_overdue (GsPool *pool, uint16_t upstream, int64_t now_us)
+{
+  add_failure (pool, upstream, now_us);
+}
+
+void
+gs_pool_blame (GsPool *pool, uint16_t upstream, int64_t now_us)
+{
+  add_failure (pool, upstream, now_us);
+}
+
+int64_t
+gs_pool_overdue_us (const GsPool *pool)
+{
+  return MAX (POOL_OVERDUE_MIN_US, (int64_t)(pool->latency_us * POOL_OVERDUE_FACTOR));
+}
+
+int
+gs_pool_find (const GsPool *pool, const char *id)
+{
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (strcmp (pool->upstreams[i].id, id) == 0)
+      return i;
+  return -1;
+}
+
+bool
+gs_pool_leave (GsPool *pool, const char *id, int64_t now_us)
+{
+  int index = gs_pool_find (pool, id);
+
+  if (index < 0)
+    return false;
+  pool->upstreams[index].left_at_us = now_us;
+  if (pool->upstreams[index].state == GS_UPSTREAM_LEAVING)
+    return false;
+  change_state (pool, (uint16_t)index, GS_UPSTREAM_LEAVING, "leaving");
+  keep_floor (pool, now_us);
+  return true;
+}
+
+void
+gs_pool_listed_live (GsPool *pool, const char *id, int64_t now_us)
+{
+  int index = gs_pool_find (pool, id);
+
+  if (index < 0 || pool->upstreams[index].state != GS_UPSTREAM_LEAVING
+      || now_us - pool->upstreams[index].left_at_us < POOL_LIST_LAG_US)
+    return;
+  gs_detector_begin_trial (pool->detector, (uint16_t)index);
+  change_state (pool, (uint16_t)index, GS_UPSTREAM_TRIAL, "listed-live");
+}
+
+uint64_t
+gs_pool_upstream_key (const GsPool *pool, uint16_t upstream)
+{
+  const Upstream *up = &pool->upstreams[upstream];
+
+  return gs_hash_bytes (up->id, strlen (up->id), ((uint64_t)up->ipv4 << 16) | up->port);
+}
+
+int
+gs_pool_find_key (const GsPool *pool, uint64_t key)
+{
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (gs_pool_upstream_key (pool, i) == key)
+      return i;
+  return -1;
+}
+
+void
+gs_pool_peer_evidence (GsPool *pool,
+                       uint16_t peer,
+                       const char *id,
+                       double score_nats,
+                       int64_t now_us)
+{
+  int index = gs_pool_find (pool, id);
+  double threshold = gs_detector_threshold (pool->detector);
+
+  if (index < 0 || !isfinite (score_nats))
+    return;
+  pool->upstreams[index].peers[peer % GS_POOL_PEERS_MAX]
+      = (PeerEvidence){ .score_nats = CLAMP (score_nats, 0, threshold), .at_us = now_us };
+  judge (pool, (uint16_t)index, now_us);
+}
+
+static uint32_t
+slot_limit (const GsPool *pool, const Upstream *upstream, int64_t now_us)
+{
+  int64_t warm_us = now_us - upstream->warm_from_us;
+
+  if (upstream->state == GS_UPSTREAM_TRIAL)
+    return 1;
+  if (upstream->state != GS_UPSTREAM_WARMING || warm_us >= POOL_WARM_US)
+    return pool->row.slots;
+  return 1 + (uint32_t)((pool->row.slots - 1) * warm_us / POOL_WARM_US);
+}
+
+static bool
+was_tried (const GsChoice *choice, uint16_t index)
+{
+  for (uint8_t i = 0; i < choice->n_tried; i++)
+    if (choice->tried[i] == index)
+      return true;
+  return false;
+}
+
+static bool
+may_take (const GsPool *pool, uint16_t index, const GsChoice *choice)
+{
+  const Upstream *upstream = &pool->upstreams[index];
+
+  if (was_tried (choice, index) || upstream->shed_until_us > choice->now_us)
+    return false;
+  if (upstream->outstanding >= slot_limit (pool, upstream, choice->now_us))
+    return false;
+  return in_rotation (upstream);
+}
+
+/* An upstream on trial with a free place, for a request that may be repeated. */
+static int
+choose_trial (const GsPool *pool, const GsChoice *choice)
+{
+  if (choice->repeat != GS_REPEAT_SAFE || choice->n_tried > 0)
+    return -1;
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (pool->upstreams[i].state == GS_UPSTREAM_TRIAL && pool->upstreams[i].outstanding == 0
+        && pool->upstreams[i].shed_until_us <= choice->now_us)
+      return i;
+  return -1;
+}
+
+int
+gs_pool_choose (GsPool *pool, const GsChoice *choice)
+{
+  int best = choose_trial (pool, choice);
+  double best_wait = INFINITY;
+
+  if (best >= 0)
+    return best;
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    {
+      const Upstream *upstream = &pool->upstreams[i];
+      double wait;
+      if (!may_take (pool, i, choice))
+        continue;
+      wait = (upstream->outstanding + 1) * upstream->latency_us
+             * (1 + 0.05 * gs_random_unit (choice->random));
+      if (wait >= best_wait)
+        continue;
+      best_wait = wait;
+      best = i;
+    }
+  return best;
+}
+
+static void
+tick_upstream (GsPool *pool, uint16_t index, int64_t now_us)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  if (upstream->state == GS_UPSTREAM_EJECTED && now_us >= upstream->hold_until_us)
+    {
+      gs_detector_begin_trial (pool->detector, index);
+      change_state (pool, index, GS_UPSTREAM_TRIAL, "hold-over");
+    }
+  else if (upstream->state == GS_UPSTREAM_WARMING
+           && now_us - upstream->warm_from_us >= POOL_WARM_US)
+    change_state (pool, index, GS_UPSTREAM_HEALTHY, "warm");
+}
+
+void
+gs_pool_tick (GsPool *pool, int64_t now_us)
+{
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    tick_upstream (pool, i, now_us);
+  keep_floor (pool, now_us);
+}
+
+static void
+fill_upstream (Upstream *upstream, const GsUpstreamRow *row)
+{
+  upstream->id = g_strdup (row->id);
+  upstream->failure_domain = row->failure_domain;
+  upstream->ipv4 = row->ipv4;
+  upstream->port = row->port;
+}
+
+static void
+free_upstreams (Upstream *upstreams, uint16_t count)
+{
+  for (uint16_t i = 0; i < count; i++)
+    g_free (upstreams[i].id);
+  g_free (upstreams);
+}
+
+static bool
+same_upstreams (const GsPool *pool, const GsPoolRow *row)
+{
+  if (pool->n_upstreams != row->n_upstreams || pool->row.cost != row->cost)
+    return false;
+  for (uint16_t i = 0; i < row->n_upstreams; i++)
+    if (strcmp (pool->upstreams[i].id, row->upstreams[i].id) != 0
+        || pool->upstreams[i].ipv4 != row->upstreams[i].ipv4
+        || pool->upstreams[i].port != row->upstreams[i].port)
+      return false;
+  return true;
+}
+
+static void
+build (GsPool *pool, const GsPoolRow *row, int64_t now_us, bool cold_start)
+{
+  GsDetectorOptions options = { .behaviour = pool->options.behaviour,
+                                .n_upstreams = row->n_upstreams,
+                                .cost = row->cost,
+                                .threshold = pool->options.threshold };
+
+  pool->detector = gs_detector_new (&options);
+  pool->upstreams = g_new0 (Upstream, row->n_upstreams);
+  pool->n_upstreams = row->n_upstreams;
+  pool->outstanding = 0;
+  for (uint16_t i = 0; i < row->n_upstreams; i++)
+    {
+      Upstream *upstream = &pool->upstreams[i];
+      fill_upstream (upstream, &row->upstreams[i]);
+      upstream->latency_us = pool->latency_us;
+      upstream->healthy_from_us = now_us;
+      upstream->state = cold_start ? GS_UPSTREAM_HEALTHY : GS_UPSTREAM_WARMING;
+      upstream->warm_from_us = now_us;
+      upstream->reason = "new";
+    }
+}
+
+static void
+copy_scalars (GsPool *pool, const GsPoolRow *row)
+{
+  g_free (pool->row.name);
+  pool->row = *row;
+  pool->row.name = g_strdup (row->name);
+  pool->row.upstreams = NULL;
+  pool->row.document = NULL;
+}
+
+static void
+apply_leaving (GsPool *pool, const GsPoolRow *row, int64_t now_us)
+{
+  for (uint16_t i = 0; i < row->n_upstreams; i++)
+    {
+      if (row->upstreams[i].leaving)
+        gs_pool_leave (pool, row->upstreams[i].id, now_us);
+      else if (pool->upstreams[i].state == GS_UPSTREAM_LEAVING)
+        start_warming (pool, i, now_us, "stays");
+    }
+}
+
+GsPool *
+gs_pool_new (const GsPoolOptions *options)
+{
+  GsPool *pool = g_new0 (GsPool, 1);
+
+  pool->options = *options;
+  pool->latency_us = (double)POOL_LATENCY_FIRST_US;
+  pool->sharers = 1;
+  copy_scalars (pool, options->row);
+  build (pool, options->row, options->now_us, options->cold_start);
+  apply_leaving (pool, options->row, options->now_us);
+  pool->options.row = NULL;
+  return pool;
+}
+
+void
+gs_pool_free (GsPool *pool)
+{
+  if (pool == NULL)
+    return;
+  gs_detector_free (pool->detector);
+  free_upstreams (pool->upstreams, pool->n_upstreams);
+  g_free (pool->row.name);
+  g_free (pool);
+}
+
+/* Keeps state and counts of the upstreams that OLD and the rebuilt pool have in common. */
+static void
+carry_over (GsPool *pool, const Upstream *old, uint16_t n_old)
+{
+  for (uint16_t i = 0; i < n_old; i++)
+    {
+      int index = gs_pool_find (pool, old[i].id);
+      Upstream *upstream;
+      char *id;
+      if (index < 0)
+        continue;
+      upstream = &pool->upstreams[index];
+      if (upstream->ipv4 != old[i].ipv4 || upstream->port != old[i].port)
+        continue;
+      id = upstream->id;
+      *upstream = old[i];
+      upstream->id = id;
+      pool->outstanding += upstream->outstanding;
+    }
+}
+
+void
+gs_pool_update (GsPool *pool, const GsPoolRow *row, int64_t now_us)
+{
+  bool same = same_upstreams (pool, row);
+
+  copy_scalars (pool, row);
+  if (!same)
+    {
+      Upstream *old = pool->upstreams;
+      uint16_t n_old = pool->n_upstreams;
+      gs_detector_free (pool->detector);
+      build (pool, row, now_us, false);
+      carry_over (pool, old, n_old);
+      free_upstreams (old, n_old);
+    }
+  apply_leaving (pool, row, now_us);
+  keep_floor (pool, now_us);
+}
+
+void
+gs_pool_set_sharers (GsPool *pool, uint8_t sharers)
+{
+  pool->sharers = MAX (sharers, 1);
+}
+
+uint32_t
+gs_pool_limit (const GsPool *pool)
+{
+  uint32_t slots = (uint32_t)gs_pool_in_rotation (pool) * pool->row.slots;
+  double even = (double)slots / pool->sharers;
+
+  if (pool->sharers == 1)
+    return MAX (slots, 1);
+  return MAX ((uint32_t)ceil (even * (1 + POOL_LENT_SHARE)), 1);
+}
+
+uint32_t
+gs_pool_outstanding (const GsPool *pool)
+{
+  return pool->outstanding;
+}
+
+int64_t
+gs_pool_latency_us (const GsPool *pool)
+{
+  return (int64_t)pool->latency_us;
+}
+
+uint16_t
+gs_pool_size (const GsPool *pool)
+{
+  return pool->n_upstreams;
+}
+
+const char *
+gs_pool_name (const GsPool *pool)
+{
+  return pool->row.name;
+}
+
+void
+gs_pool_view (const GsPool *pool, uint16_t index, GsUpstreamView *view)
+{
+  const Upstream *upstream = &pool->upstreams[index];
+
+  *view = (GsUpstreamView){ .id = upstream->id,
+                            .reason = upstream->reason,
+                            .ipv4 = upstream->ipv4,
+                            .port = upstream->port,
+                            .state = upstream->state,
+                            .outstanding = upstream->outstanding,
+                            .score_nats = gs_detector_score (pool->detector, index),
+                            .latency_us = (int64_t)upstream->latency_us };
+}
--- /dev/null
+++ b/src/gentian/core/pool.h
@@ -0,0 +1,179 @@
+/**
+ * NAME
+ *   pool - one pool at one of its homes: choice of upstream, slots, ejection, floor, return
+ *
+ * SYNOPSIS
+ *   GsPool *pool = gs_pool_new (&(GsPoolOptions){ .row = row, .now_us = now_us });
+ *   int upstream = gs_pool_choose (pool, &(GsChoice){ .now_us = now_us, .random = &random });
+ *   gs_pool_begin (pool, upstream);
+ *   gs_pool_end (pool, upstream, &(GsEnd){ .now_us = now_us, .outcome = GS_OUTCOME_OK });
+ *
+ * DESCRIPTION
+ *   Keeps what one daemon knows of a pool's upstreams. An upstream is in rotation while it is
+ * healthy or warming. Ejection is refused when it would leave fewer upstreams in rotation than the
+ * floor; when leaving upstreams push the rotation below the floor, ejected ones are taken back,
+ * least accused first. An ejected upstream returns through a trial: one request at a time until the
+ * test clears it. Pure: no I/O, no clock. Tested by test/unit/test_pool.c and
+ * test/property/prop_pool.cpp.
+ */
+#ifndef GS_POOL_H
+#define GS_POOL_H
+
+#include "detector.h"
+#include "table.h"
+
+typedef enum
+{
+  GS_UPSTREAM_HEALTHY = 0,
+  GS_UPSTREAM_WARMING, /**< in rotation with a growing share of its slots */
+  GS_UPSTREAM_EJECTED,
+  GS_UPSTREAM_TRIAL,   /**< ejected, with one request at a time as a test */
+  GS_UPSTREAM_LEAVING, /**< gets no new work */
+} GsUpstreamState;
+
+/** Where an upstream stands, for decision lines and the administration API. */
+typedef struct
+{
+  const char *id;
+  const char *reason; /**< static text */
+  uint32_t ipv4;
+  uint16_t port;
+  GsUpstreamState state;
+  uint32_t outstanding;
+  double score_nats;
+  int64_t latency_us;
+} GsUpstreamView;
+
+/** A change of an upstream's state, for the log. */
+typedef struct
+{
+  uint16_t upstream;
+  GsUpstreamState from;
+  GsUpstreamState to;
+  const char *reason; /**< static text */
+  double score_nats;
+} GsPoolChange;
+
+enum
+{
+  GS_POOL_CHANGES_MAX = 64, /**< changes kept between two calls of gs_pool_take_changes */
+  GS_POOL_UPSTREAMS_MAX = 512,
+  GS_POOL_TRIED_MAX = 4, /**< upstreams that one request may name as already tried */
+  GS_POOL_PEERS_MAX = 16,
+};
+
+/** Construction options. */
+typedef struct
+{
+  const GsPoolRow *row;             /**< copied */
+  const GsDetectorClass *behaviour; /**< NULL: the sequential test */
+  double threshold;                 /**< nats; 0: by the pool's cost */
+  int64_t now_us;
+  bool cold_start; /**< true when this daemon knows nothing of the upstreams yet */
+} GsPoolOptions;
+
+/** What a choice has to respect. */
+typedef struct
+{
+  int64_t now_us;
+  GsRandom *random;
+  GsRepeat repeat;
+  uint16_t tried[GS_POOL_TRIED_MAX];
+  uint8_t n_tried;
+} GsChoice;
+
+/** How an attempt at an upstream ended. */
+typedef struct
+{
+  int64_t now_us;
+  int64_t answer_us; /**< time to the first byte of the answer */
+  GsOutcome outcome;
+  bool counted;  /**< true when the attempt was already counted as overdue */
+  bool no_blame; /**< true when the request, not the upstream, is suspected */
+} GsEnd;
+
+typedef struct GsPool GsPool;
+
+GsPool *gs_pool_new (const GsPoolOptions *options);
+void gs_pool_free (GsPool *pool);
+
+/** Takes over an edited ROW; upstreams that stay keep their history. */
+void gs_pool_update (GsPool *pool, const GsPoolRow *row, int64_t now_us);
+
+/** RETURN VALUE: index of the upstream with the least expected wait and a free slot, or -1. */
+int gs_pool_choose (GsPool *pool, const GsChoice *choice);
+
+/** Notes that an attempt at UPSTREAM starts. */
+void gs_pool_begin (GsPool *pool, uint16_t upstream);
+
+/** Notes how an attempt at UPSTREAM ended and ejects it where the evidence suffices. */
+void gs_pool_end (GsPool *pool, uint16_t upstream, const GsEnd *end);
+
+/** Counts an attempt that is running far longer than the pool's answers do as a failure. */
+void gs_pool_overdue (GsPool *pool, uint16_t upstream, int64_t now_us);
+
+/** RETURN VALUE: age in microseconds at which a running attempt is overdue. */
+int64_t gs_pool_overdue_us (const GsPool *pool);
+
+/** Counts one failure against UPSTREAM that had been held back (see crash.h). */
+void gs_pool_blame (GsPool *pool, uint16_t upstream, int64_t now_us);
+
+/** Marks the upstream with id ID as leaving. RETURN VALUE: true when it had not been. */
+bool gs_pool_leave (GsPool *pool, const char *id, int64_t now_us);
+
+/**
+ * Notes that the platform's list names ID as live. The list lags, so a recent sign of leaving wins;
+ * an upstream that left longer ago comes back through a trial.
+ */
+void gs_pool_listed_live (GsPool *pool, const char *id, int64_t now_us);
+
+/** RETURN VALUE: a key that names UPSTREAM also after an edit has moved its index. */
+uint64_t gs_pool_upstream_key (const GsPool *pool, uint16_t upstream);
+
+/** RETURN VALUE: index of the upstream with KEY, or -1 when an edit has removed it. */
+int gs_pool_find_key (const GsPool *pool, uint64_t key);
+
+/** Takes PEER's evidence against the upstream ID, in nats; it fades after a second. */
+void gs_pool_peer_evidence (GsPool *pool,
+                            uint16_t peer,
+                            const char *id,
+                            double score_nats,
+                            int64_t now_us);
+
+/** Moves upstreams whose time has come: trials, warm-up, return. */
+void gs_pool_tick (GsPool *pool, int64_t now_us);
+
+/** Sets the number of homes that share the pool. */
+void gs_pool_set_sharers (GsPool *pool, uint8_t sharers);
+
+/** RETURN VALUE: requests that this home may have at the pool's upstreams at once. */
+uint32_t gs_pool_limit (const GsPool *pool);
+
+/** RETURN VALUE: requests that this home has at the pool's upstreams. */
+uint32_t gs_pool_outstanding (const GsPool *pool);
+
+/** RETURN VALUE: typical time of an attempt, in microseconds. */
+int64_t gs_pool_latency_us (const GsPool *pool);
+
+/** RETURN VALUE: upstreams in rotation. */
+uint16_t gs_pool_in_rotation (const GsPool *pool);
+
+/** RETURN VALUE: fewest upstreams in rotation that ejection may leave. */
+uint16_t gs_pool_floor (const GsPool *pool);
+
+uint16_t gs_pool_size (const GsPool *pool);
+const char *gs_pool_name (const GsPool *pool);
+
+/** Fills VIEW with the state of UPSTREAM. */
+void gs_pool_view (const GsPool *pool, uint16_t upstream, GsUpstreamView *view);
+
+/** RETURN VALUE: index of the upstream with id ID, or -1. */
+int gs_pool_find (const GsPool *pool, const char *id);
+
+/** Copies at most MAX pending changes to CHANGES and forgets them. RETURN VALUE: how many. */
+uint32_t gs_pool_take_changes (GsPool *pool, GsPoolChange *changes, uint32_t max);
+
+/** RETURN VALUE: static text of STATE. */
+const char *gs_upstream_state_name (GsUpstreamState state);
+
+#endif
--- /dev/null
+++ b/src/gentian/core/request.c
@@ -0,0 +1,611 @@
+#include "core_private.h"
+
+#include <string.h>
+
+enum
+{
+  STATUS_NOT_FOUND = 404,
+  STATUS_CONFLICT = 409,
+  STATUS_UNPROCESSABLE = 422,
+  STATUS_BAD_GATEWAY = 502,
+  STATUS_UNAVAILABLE = 503,
+  STATUS_GATEWAY_TIMEOUT = 504,
+};
+
+/** Connections lost at one upstream within this time belong to one crash. */
+#define CRASH_SPAN_US (200 * GS_US_PER_MS)
+/** A second crash of an upstream within this time is held against the upstream. */
+#define CRASH_REPEAT_US (60 * GS_US_PER_S)
+
+Request *
+request_find (GsCore *core, uint64_t id)
+{
+  return g_hash_table_lookup (core->requests, &id);
+}
+
+static void
+forget (GsCore *core, Request *request)
+{
+  if (request->phase == REQUEST_QUEUED)
+    gs_queue_remove (request->pool->queue, request->id);
+  g_hash_table_remove (core->requests, &request->id);
+}
+
+void
+request_reject (GsCore *core,
+                Request *request,
+                GsVerdict verdict,
+                uint16_t status,
+                const char *reason)
+{
+  GsEffect *effect = core_add_effect (core, GS_EFFECT_REJECT);
+
+  effect->reject = (GsRejectEffect){
+    .request = request->id, .verdict = verdict, .status = status, .reason = reason
+  };
+  core_notice (core, GS_NOTICE_REJECTED,
+               "request=%" G_GUINT64_FORMAT " pool=%s verdict=%s status=%u reason=%s attempts=%u",
+               request->id, request->pool != NULL ? request->pool->name : "-",
+               gs_verdict_name (verdict), status, reason, request->n_attempts);
+  forget (core, request);
+}
+
+void
+request_kept_answer (GsCore *core, Request *request)
+{
+  core_add_effect (core, GS_EFFECT_KEPT_ANSWER)->answer = request->id;
+  forget (core, request);
+}
+
+/* Rejects a request none of whose attempts is under way, with the gravest verdict so far. */
+static void
+give_up (GsCore *core, Request *request, uint16_t status, const char *reason)
+{
+  if (request->worst == GS_VERDICT_NOT_RUN && right_not_run (core, request, reason))
+    return;
+  request_reject (core, request, request->worst, status, reason);
+}
+
+static bool
+was_tried (const Request *request, uint64_t key)
+{
+  for (uint8_t i = 0; i < request->n_tried; i++)
+    if (request->tried[i] == key)
+      return true;
+  return false;
+}
+
+static Attempt *
+start_attempt (GsCore *core, Request *request, uint64_t target_key, const char *target)
+{
+  Attempt *attempt = g_new0 (Attempt, 1);
+
+  attempt->id = ++core->next_attempt;
+  attempt->request = request->id;
+  attempt->pool = request->pool;
+  attempt->upstream = target_key;
+  attempt->fingerprint = request->fingerprint;
+  attempt->started_us = core->now_us;
+  g_strlcpy (attempt->target, target, sizeof attempt->target);
+  g_hash_table_insert (core->attempts, &attempt->id, attempt);
+  request->phase = REQUEST_RUNNING;
+  request->n_attempts++;
+  if (request->n_tried < G_N_ELEMENTS (request->tried))
+    request->tried[request->n_tried++] = target_key;
+  return attempt;
+}
+
+static GsAttemptEffect *
+add_attempt_effect (GsCore *core, const Request *request, const Attempt *attempt)
+{
+  GsAttemptEffect *effect = &core_add_effect (core, GS_EFFECT_ATTEMPT)->attempt;
+  int64_t left_us = request->deadline_us - core->now_us;
+
+  *effect = (GsAttemptEffect){ .request = request->id,
+                               .attempt = attempt->id,
+                               .forward = attempt->forward,
+                               .deadline_us = request->deadline_us,
+                               .timeout_us = MIN (request->attempt_timeout_us, left_us) };
+  g_strlcpy (effect->target, attempt->target, sizeof effect->target);
+  return effect;
+}
+
+void
+request_forward_to (GsCore *core, Request *request, const GsMemberFact *member, bool with_right)
+{
+  Attempt *attempt = start_attempt (core, request, gs_hash_name (member->id), member->id);
+  GsAttemptEffect *effect;
+
+  attempt->forward = true;
+  effect = add_attempt_effect (core, request, attempt);
+  effect->ipv4 = member->ipv4;
+  effect->port = member->entry_port;
+  effect->with_right = with_right;
+  effect->timeout_us = request->deadline_us - core->now_us;
+  core_notice (core, GS_NOTICE_FORWARDED, "request=%" G_GUINT64_FORMAT " pool=%s to=%s reason=%s",
+               request->id, request->pool->name, member->id,
+               with_right ? "holder-of-right" : "home");
+}
+
+/* A home that this daemon can reach and has not tried yet; homes take turns by request. */
+static const GsMemberFact *
+pick_home (GsCore *core, const Request *request)
+{
+  const PoolState *state = request->pool;
+
+  for (uint32_t i = 0; i < state->n_homes; i++)
+    {
+      uint32_t index = state->homes[(request->id + i) % state->n_homes];
+      const GsMemberFact *member = gs_members_get (core->members, index);
+      if (index != 0 && gs_members_reachable (core->members, index)
+          && !was_tried (request, gs_hash_name (member->id)))
+        return member;
+    }
+  return NULL;
+}
+
+/* Starts an attempt where the limit and a slot allow. RETURN VALUE: false when there is no slot. */
+static bool
+try_serve (GsCore *core, Request *request)
+{
+  GsPool *pool = core_serve_pool (core, request->pool);
+  GsChoice choice = { .now_us = core->now_us, .random = &core->random, .repeat = request->repeat };
+  GsUpstreamView view;
+  Attempt *attempt;
+  GsAttemptEffect *effect;
+  int index;
+
+  if (gs_pool_outstanding (pool) >= gs_pool_limit (pool))
+    return false;
+  for (uint8_t i = 0; i < request->n_tried && choice.n_tried < GS_POOL_TRIED_MAX; i++)
+    {
+      int tried = gs_pool_find_key (pool, request->tried[i]);
+      if (tried >= 0)
+        choice.tried[choice.n_tried++] = (uint16_t)tried;
+    }
+  index = gs_pool_choose (pool, &choice);
+  if (index < 0)
+    return false;
+  gs_pool_view (pool, (uint16_t)index, &view);
+  gs_pool_begin (pool, (uint16_t)index);
+  attempt = start_attempt (core, request, gs_pool_upstream_key (pool, (uint16_t)index), view.id);
+  effect = add_attempt_effect (core, request, attempt);
+  effect->ipv4 = view.ipv4;
+  effect->port = view.port;
+  core_notice (core, GS_NOTICE_ROUTED,
+               "request=%" G_GUINT64_FORMAT " pool=%s chose=%s state=%s outstanding=%u "
+               "latency_us=%" G_GINT64_FORMAT " attempt=%u reason=least-expected-wait",
+               request->id, request->pool->name, view.id, gs_upstream_state_name (view.state),
+               view.outstanding, view.latency_us, request->n_attempts);
+  return true;
+}
+
+static int64_t
+expected_wait_us (const PoolState *state, const Request *request)
+{
+  uint32_t limit = gs_pool_limit (state->pool);
+  uint32_t ahead = gs_queue_ahead (state->queue, request->flow, request->weight) + 1;
+
+  return (int64_t)ahead * gs_pool_latency_us (state->pool) / MAX (limit, 1);
+}
+
+static void
+enqueue (GsCore *core, Request *request)
+{
+  PoolState *state = request->pool;
+  int64_t wait_us = expected_wait_us (state, request);
+  GsWaiting waiting = { .request = request->id,
+                        .flow = request->flow,
+                        .deadline_us = request->deadline_us,
+                        .weight = request->weight };
+  uint64_t displaced;
+
+  if (gs_pool_in_rotation (state->pool) <= request->n_tried)
+    {
+      give_up (core, request, STATUS_UNAVAILABLE, "no-other-upstream");
+      return;
+    }
+  if (core->now_us + wait_us + gs_pool_latency_us (state->pool) > request->deadline_us)
+    {
+      give_up (core, request, STATUS_UNAVAILABLE, "deadline-out-of-reach");
+      return;
+    }
+  request->phase = REQUEST_QUEUED;
+  core_notice (core, GS_NOTICE_QUEUED,
+               "request=%" G_GUINT64_FORMAT " pool=%s length=%u wait_us=%" G_GINT64_FORMAT,
+               request->id, state->name, gs_queue_length (state->queue), wait_us);
+  displaced = gs_queue_push (state->queue, &waiting);
+  if (displaced != 0)
+    {
+      Request *victim = request_find (core, displaced);
+      victim->phase = REQUEST_NEW;
+      give_up (core, victim, STATUS_UNAVAILABLE, "queue-full");
+    }
+}
+
+/* Serves or forwards a request whose right, if it has one, is established. */
+void
+request_dispatch (GsCore *core, Request *request)
+{
+  PoolState *state = request->pool;
+  const GsMemberFact *home;
+
+  core_refresh_homes (core, state);
+  home = state->is_home || request->hop ? NULL : pick_home (core, request);
+  if (home != NULL)
+    {
+      request_forward_to (core, request, home, false);
+      return;
+    }
+  core_serve_pool (core, state);
+  if (gs_queue_length (state->queue) > 0 || !try_serve (core, request))
+    enqueue (core, request);
+  request_serve_waiting (core, state);
+}
+
+void
+request_serve_waiting (GsCore *core, PoolState *state)
+{
+  GsWaiting waiting;
+
+  if (state->pool == NULL)
+    return;
+  while (gs_pool_outstanding (state->pool) < gs_pool_limit (state->pool)
+         && gs_queue_pop (state->queue, &waiting))
+    {
+      Request *request = request_find (core, waiting.request);
+      request->phase = REQUEST_NEW;
+      if (request->deadline_us <= core->now_us)
+        give_up (core, request, STATUS_UNAVAILABLE, "deadline-passed-in-queue");
+      else if (!try_serve (core, request))
+        {
+          request->phase = REQUEST_QUEUED;
+          gs_queue_unpop (state->queue, &waiting);
+          return;
+        }
+    }
+}
+
+static Request *
+add_request (GsCore *core, const GsRequestEvent *event, const GsRoute *route, const GsPoolRow *row)
+{
+  Request *request = g_new0 (Request, 1);
+  uint32_t timeout_ms = route->timeout_ms;
+
+  if (event->timeout_ms != 0)
+    timeout_ms = MIN (timeout_ms, event->timeout_ms);
+  request->id = event->request;
+  request->fingerprint = event->fingerprint;
+  request->flow = gs_hash_bytes (route->name, strlen (route->name),
+                                 gs_hash_name (route->document->workspace));
+  request->pool = core_pool_state (core, row);
+  request->repeat = route->repeat;
+  request->weight = route->weight;
+  request->attempt_timeout_us = (int64_t)route->attempt_timeout_ms * GS_US_PER_MS;
+  request->arrived_us = core->now_us;
+  request->deadline_us = core->now_us + (int64_t)timeout_ms * GS_US_PER_MS;
+  request->hop = event->hop;
+  request->right = event->right;
+  request->right.key = NULL;
+  g_hash_table_insert (core->requests, &request->id, request);
+  gs_budget_earn (&request->pool->budget);
+  return request;
+}
+
+static void
+reject_unrouted (GsCore *core, uint64_t id, uint16_t status, const char *reason)
+{
+  GsEffect *effect = core_add_effect (core, GS_EFFECT_REJECT);
+
+  effect->reject = (GsRejectEffect){
+    .request = id, .verdict = GS_VERDICT_NOT_RUN, .status = status, .reason = reason
+  };
+  core_notice (core, GS_NOTICE_REJECTED,
+               "request=%" G_GUINT64_FORMAT
+               " pool=- verdict=not-run status=%u reason=%s attempts=0",
+               id, status, reason);
+}
+
+void
+request_arrive (GsCore *core, const GsRequestEvent *event)
+{
+  const GsRoute *route = gs_table_match (core->table, event->host, event->path);
+  const GsPoolRow *row;
+  Request *request;
+
+  if (!gs_fold_complete (core->fold))
+    {
+      reject_unrouted (core, event->request, STATUS_UNAVAILABLE, "no-tables");
+      return;
+    }
+  if (route == NULL)
+    {
+      reject_unrouted (core, event->request, STATUS_NOT_FOUND, "no-route");
+      return;
+    }
+  row = gs_table_pool (core->table, route->document->workspace, route->pool);
+  if (row == NULL || row->n_upstreams == 0)
+    {
+      reject_unrouted (core, event->request, STATUS_UNAVAILABLE, "empty-pool");
+      return;
+    }
+  request = add_request (core, event, route, row);
+  if (request->right.kind == GS_RIGHT_KEY
+      && !gs_key_parse (route->document->workspace, event->right.key, &request->key))
+    request_reject (core, request, GS_VERDICT_NOT_RUN, STATUS_UNPROCESSABLE, "malformed-key");
+  else if (request->right.kind != GS_RIGHT_NONE)
+    right_begin (core, request);
+  else if (gs_crashes_refused (core->crashes, request->fingerprint, core->now_us))
+    request_reject (core, request, GS_VERDICT_NOT_RUN, STATUS_UNPROCESSABLE, "crashes-upstreams");
+  else
+    request_dispatch (core, request);
+}
+
+/* Number of the crash that a lost connection belongs to; BLAME tells whether the upstream is
+ * blamed. */
+static uint64_t
+crash_of (GsCore *core, const Attempt *attempt, bool *blame)
+{
+  CrashSite *site = g_hash_table_lookup (core->crash_sites, &attempt->upstream);
+  uint64_t *key;
+
+  *blame = false;
+  if (site == NULL)
+    {
+      site = g_new0 (CrashSite, 1);
+      key = g_memdup2 (&attempt->upstream, sizeof attempt->upstream);
+      g_hash_table_insert (core->crash_sites, key, site);
+    }
+  else if (core->now_us - site->at_us <= CRASH_SPAN_US)
+    return site->crash;
+  else
+    *blame = core->now_us - site->at_us <= CRASH_REPEAT_US;
+  site->crash = gs_mix64 (core->options.self.incarnation ^ gs_hash_name (core->options.self.id)
+                          ^ gs_mix64 (++core->next_crash));
+  site->at_us = core->now_us;
+  return site->crash;
+}
+
+static void
+tell_crash (GsCore *core, PoolState *state, uint64_t fingerprint, uint64_t crash)
+{
+  GsEffect effect
+      = { .kind = GS_EFFECT_CRASH, .crash = { .fingerprint = fingerprint, .crash = crash } };
+
+  core_tell_homes (core, state, &effect);
+}
+
+/* RETURN VALUE: true when the lost connection is not to be held against the upstream. */
+static bool
+note_crash (GsCore *core, const Attempt *attempt)
+{
+  bool blame;
+  uint64_t crash = crash_of (core, attempt, &blame);
+  uint32_t before = gs_crashes_count (core->crashes, attempt->fingerprint, core->now_us);
+
+  if (gs_crashes_suspect (core->crashes, attempt->fingerprint, crash, core->now_us))
+    {
+      tell_crash (core, attempt->pool, attempt->fingerprint, crash);
+      core_notice (core, GS_NOTICE_CRASH_SUSPECTED,
+                   "fingerprint=%016" G_GINT64_MODIFIER "x upstream=%s crashes=%u",
+                   attempt->fingerprint, attempt->target,
+                   gs_crashes_count (core->crashes, attempt->fingerprint, core->now_us));
+    }
+  return !blame || before > 0;
+}
+
+static void
+clear_suspect (GsCore *core, const Attempt *attempt)
+{
+  if (!gs_crashes_clear (core->crashes, attempt->fingerprint))
+    return;
+  tell_crash (core, attempt->pool, attempt->fingerprint, 0);
+  core_notice (core, GS_NOTICE_CRASH_CLEARED, "fingerprint=%016" G_GINT64_MODIFIER "x upstream=%s",
+               attempt->fingerprint, attempt->target);
+}
+
+static void
+end_at_upstream (GsCore *core, const Attempt *attempt, const GsAttemptEndEvent *event)
+{
+  GsPool *pool = attempt->pool->pool;
+  int index = gs_pool_find_key (pool, attempt->upstream);
+  GsUpstreamView view = { 0 };
+  GsEnd end = { .now_us = core->now_us,
+                .answer_us = event->answer_us,
+                .outcome = event->outcome,
+                .counted = attempt->counted };
+
+  if (event->outcome == GS_OUTCOME_CLOSED)
+    end.no_blame = note_crash (core, attempt);
+  else if (event->outcome == GS_OUTCOME_OK || event->outcome == GS_OUTCOME_ERROR)
+    clear_suspect (core, attempt);
+  if (index < 0)
+    return;
+  gs_pool_view (pool, (uint16_t)index, &view);
+  gs_pool_end (pool, (uint16_t)index, &end);
+  if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CLOSED)
+    {
+      core_add_effect (core, GS_EFFECT_DROP_CONNECTIONS)->drop
+          = (GsPeerAddress){ .ipv4 = view.ipv4, .peer_port = view.port };
+      core_notice (core, GS_NOTICE_CONNECTIONS_DROPPED, "upstream=%s reason=%s", view.id,
+                   gs_outcome_name (event->outcome));
+    }
+  if (event->outcome == GS_OUTCOME_LEAVING)
+    {
+      GsEffect sign = { .kind = GS_EFFECT_SIGN, .sign = { .leaving = true } };
+      g_strlcpy (sign.sign.upstream, view.id, sizeof sign.sign.upstream);
+      core_tell_homes (core, attempt->pool, &sign);
+    }
+  core_report_changes (core, attempt->pool);
+}
+
+static void
+answer (GsCore *core, Request *request, const GsAttemptEndEvent *event)
+{
+  right_answered (core, request);
+  core_add_effect (core, GS_EFFECT_ANSWER)->answer = request->id;
+  core_notice (core, GS_NOTICE_ANSWERED,
+               "request=%" G_GUINT64_FORMAT
+               " pool=%s outcome=%s attempts=%u total_us=%" G_GINT64_FORMAT,
+               request->id, request->pool->name, gs_outcome_name (event->outcome),
+               request->n_attempts, core->now_us - request->arrived_us);
+  forget (core, request);
+}
+
+static bool
+may_retry (GsCore *core, Request *request, GsOutcome outcome)
+{
+  bool safe = request->repeat == GS_REPEAT_SAFE && request->right.kind == GS_RIGHT_NONE;
+
+  if (gs_outcome_verdict (outcome) != GS_VERDICT_NOT_RUN && !safe)
+    return false;
+  if (request->n_attempts >= CORE_ATTEMPTS_MAX || request->deadline_us <= core->now_us)
+    return false;
+  if (gs_crashes_refused (core->crashes, request->fingerprint, core->now_us))
+    return false;
+  return gs_budget_spend (&request->pool->budget);
+}
+
+static void
+retry (GsCore *core, Request *request, const Attempt *attempt, GsOutcome outcome)
+{
+  core_notice (core, GS_NOTICE_RETRIED,
+               "request=%" G_GUINT64_FORMAT " pool=%s after=%s outcome=%s attempt=%u", request->id,
+               request->pool->name, attempt->target, gs_outcome_name (outcome),
+               request->n_attempts);
+  request->phase = REQUEST_NEW;
+  request_dispatch (core, request);
+}
+
+static uint16_t
+failure_status (GsOutcome outcome)
+{
+  if (gs_outcome_verdict (outcome) == GS_VERDICT_NOT_RUN)
+    return STATUS_UNAVAILABLE;
+  return outcome == GS_OUTCOME_TIMEOUT || outcome == GS_OUTCOME_SILENT ? STATUS_GATEWAY_TIMEOUT
+                                                                       : STATUS_BAD_GATEWAY;
+}
+
+static void
+continue_request (GsCore *core,
+                  Request *request,
+                  const Attempt *attempt,
+                  const GsAttemptEndEvent *event)
+{
+  GsVerdict verdict = gs_outcome_verdict (event->outcome);
+
+  request->worst = MAX (request->worst, verdict);
+  if (event->outcome == GS_OUTCOME_CANCELLED)
+    forget (core, request);
+  else if (event->outcome == GS_OUTCOME_OK || event->committed)
+    answer (core, request, event);
+  else if (may_retry (core, request, event->outcome))
+    retry (core, request, attempt, event->outcome);
+  else if (event->outcome == GS_OUTCOME_ERROR)
+    answer (core, request, event);
+  else
+    give_up (core, request, failure_status (event->outcome), gs_outcome_name (event->outcome));
+}
+
+void
+request_attempt_began (GsCore *core, uint64_t id)
+{
+  Attempt *attempt = g_hash_table_lookup (core->attempts, &id);
+
+  if (attempt != NULL)
+    attempt->began = true;
+}
+
+void
+request_attempt_end (GsCore *core, const GsAttemptEndEvent *event)
+{
+  Attempt *attempt = g_hash_table_lookup (core->attempts, &event->attempt);
+  Request *request;
+  PoolState *state;
+
+  if (attempt == NULL)
+    return; /* a late or repeated end */
+  g_hash_table_steal (core->attempts, &attempt->id);
+  request = request_find (core, attempt->request);
+  state = attempt->pool;
+  if (attempt->forward)
+    gs_members_note_path (core->members, attempt->target, event->outcome != GS_OUTCOME_UNREACHABLE,
+                          core->now_us);
+  else
+    end_at_upstream (core, attempt, event);
+  if (request != NULL)
+    continue_request (core, request, attempt, event);
+  request_serve_waiting (core, state);
+  g_free (attempt);
+}
+
+void
+request_caller_left (GsCore *core, uint64_t id)
+{
+  Request *request = request_find (core, id);
+
+  if (request == NULL || request->phase == REQUEST_RUNNING)
+    return; /* the edge ends a running attempt as cancelled */
+  if (request->phase == REQUEST_QUEUED && right_not_run (core, request, "caller-left"))
+    return;
+  forget (core, request);
+}
+
+/* Rejects requests whose time is up wherever they wait. */
+static void
+expire_waiting (GsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  g_autoptr (GPtrArray) expired = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, core->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Request *request = value;
+      if (request->phase != REQUEST_RUNNING && request->deadline_us <= core->now_us)
+        g_ptr_array_add (expired, request);
+    }
+  for (guint i = 0; i < expired->len; i++)
+    {
+      Request *request = g_ptr_array_index (expired, i);
+      if (request->phase != REQUEST_QUEUED)
+        {
+          right_deadline (core, request);
+          continue;
+        }
+      gs_queue_remove (request->pool->queue, request->id);
+      request->phase = REQUEST_NEW;
+      give_up (core, request, STATUS_UNAVAILABLE, "deadline-passed-in-queue");
+    }
+}
+
+static void
+count_overdue (GsCore *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Attempt *attempt = value;
+      int index;
+      if (attempt->forward || attempt->counted || attempt->began
+          || core->now_us - attempt->started_us < gs_pool_overdue_us (attempt->pool->pool))
+        continue;
+      index = gs_pool_find_key (attempt->pool->pool, attempt->upstream);
+      if (index < 0)
+        continue;
+      attempt->counted = true;
+      gs_pool_overdue (attempt->pool->pool, (uint16_t)index, core->now_us);
+      core_report_changes (core, attempt->pool);
+    }
+}
+
+void
+request_tick (GsCore *core)
+{
+  expire_waiting (core);
+  count_overdue (core);
+}
--- /dev/null
+++ b/src/gentian/core/table.h
@@ -0,0 +1,119 @@
+/**
+ * NAME
+ *   table - the routes and pools tables in force, and the look-up of a request's route
+ *
+ * SYNOPSIS
+ *   GsTable *table = gs_table_new ();
+ *   gs_table_replace (table, document);
+ *   const GsRoute *route = gs_table_match (table, "ledger.example", "/refunds/7");
+ *
+ * DESCRIPTION
+ *   A document (GsDocument) holds the two tables of one workspace. The table holds the newest
+ * document of every workspace, and two indexes: host to routes by falling prefix length, and pool
+ * name to pool. Replacing one workspace's document costs time in its own rows only. Pure: no I/O,
+ * no clock. Tested by test/unit/test_table.c.
+ */
+#ifndef GS_TABLE_H
+#define GS_TABLE_H
+
+#include "base.h"
+
+/** One backend server of a pool. */
+typedef struct
+{
+  char *id;
+  const char *failure_domain; /**< interned */
+  uint32_t ipv4;              /**< host byte order */
+  uint16_t port;
+  bool leaving;
+} GsUpstreamRow;
+
+typedef struct GsDocument GsDocument;
+
+/** One row of the pools table. */
+typedef struct
+{
+  const GsDocument *document;
+  char *name;
+  GsUpstreamRow *upstreams;
+  uint16_t n_upstreams;
+  uint16_t slots;           /**< requests that an upstream works on at once, 1 to 1024 */
+  uint16_t max_connections; /**< connections an upstream accepts from the fleet */
+  uint8_t floor_percent;    /**< healthy capacity that ejection never goes below, 0 to 100 */
+  uint8_t homes;            /**< size of the home set, 1 to 16 */
+  GsCost cost;
+} GsPoolRow;
+
+/** One row of the routes table. */
+typedef struct
+{
+  const GsDocument *document;
+  char *name;
+  char *host;   /**< exact host, or "*" */
+  char *prefix; /**< path prefix, starts with "/" */
+  char *pool;   /**< pool of the same workspace */
+  GsRepeat repeat;
+  uint32_t timeout_ms;         /**< whole request */
+  uint32_t attempt_timeout_ms; /**< one attempt */
+  uint16_t weight;             /**< share under overload */
+} GsRoute;
+
+/** The two tables of one workspace at one revision. */
+struct GsDocument
+{
+  char *workspace;
+  uint64_t revision; /**< log offset + 1 of the accepted edit; 0 before any */
+  GsRoute *routes;
+  GsPoolRow *pools;
+  uint32_t n_routes;
+  uint32_t n_pools;
+};
+
+typedef struct GsTable GsTable;
+
+/** RETURN VALUE: an empty document of WORKSPACE, to be filled and freed by the caller. */
+GsDocument *gs_document_new (const char *workspace, uint64_t revision);
+
+/** Frees DOCUMENT and its rows. NULL is allowed. */
+void gs_document_free (GsDocument *document);
+
+/** RETURN VALUE: the pool named NAME in DOCUMENT, or NULL. */
+const GsPoolRow *gs_document_pool (const GsDocument *document, const char *name);
+
+GsTable *gs_table_new (void);
+void gs_table_free (GsTable *table);
+
+/**
+ * Finds the first route of DOCUMENT whose host and prefix another workspace's document holds.
+ *
+ * RETURN VALUE: that route of DOCUMENT, or NULL when nothing clashes.
+ */
+const GsRoute *gs_table_clash (const GsTable *table, const GsDocument *document);
+
+/**
+ * Puts DOCUMENT in force and takes ownership of it. A revision that is not above the one in force
+ * is dropped.
+ *
+ * RETURN VALUE: true when DOCUMENT is now in force.
+ */
+bool gs_table_replace (GsTable *table, GsDocument *document);
+
+/** RETURN VALUE: the route with the longest matching prefix; exact hosts go before "*". NULL if
+ * none. */
+const GsRoute *gs_table_match (const GsTable *table, const char *host, const char *path);
+
+/** RETURN VALUE: the pool, or NULL. */
+const GsPoolRow *gs_table_pool (const GsTable *table, const char *workspace, const char *pool);
+
+/** RETURN VALUE: the document of WORKSPACE, or NULL. */
+const GsDocument *gs_table_document (const GsTable *table, const char *workspace);
+
+/** RETURN VALUE: the number of workspaces with a document. */
+uint32_t gs_table_size (const GsTable *table);
+
+/** Calls VISIT for each document, in no order. */
+void gs_table_foreach (const GsTable *table,
+                       void (*visit) (const GsDocument *document, void *data),
+                       void *data);
+
+#endif
--- /dev/null
+++ b/src/gentian/daemon/engine.c
@@ -0,0 +1,453 @@
+#include "engine.h"
+
+#include <sodium.h>
+#include <string.h>
+
+#include "../config/tables.h"
+#include "../log/counter.h"
+#include "../log/log.h"
+#include "../peer/peer.h"
+#include "../peer/wire.h"
+#include "../platform/record.h"
+
+#define ENGINE_TICK_US (10 * GS_US_PER_MS)
+
+struct GsEngine
+{
+  const GsSettings *settings;
+  GMutex lock; /* over the core, its effects and the waiters */
+  GsCore *core;
+  GsEffects *effects;
+  GHashTable *waiters; /* request -> GsWaiter, not owned */
+  GsPeer *peer;
+  GsClient *client;
+  GAsyncQueue *claims; /* of GsClaimRecord */
+  GThread *ticker;
+  uint64_t next_request;
+  uint64_t incarnation;
+  gint stopping;
+  gint ending;
+  gint need_log;
+};
+
+void
+gs_sign (const char *key, const char *text, char *out)
+{
+  uint8_t key_bytes[GS_SETTINGS_KEY_BYTES] = { 0 };
+  uint8_t mac[GS_SIGNATURE_BYTES];
+  size_t length = 0;
+
+  sodium_hex2bin (key_bytes, sizeof key_bytes, key, strlen (key), NULL, &length, NULL);
+  crypto_generichash (mac, sizeof mac, (const unsigned char *)text, strlen (text), key_bytes,
+                      sizeof key_bytes);
+  sodium_bin2hex (out, GS_SIGNATURE_HEX + 1, mac, sizeof mac);
+}
+
+bool
+gs_signed (const char *key, const char *text, const char *signature)
+{
+  char expected[GS_SIGNATURE_HEX + 1];
+
+  if (strlen (signature) != GS_SIGNATURE_HEX)
+    return false;
+  gs_sign (key, text, expected);
+  return sodium_memcmp (expected, signature, GS_SIGNATURE_HEX) == 0;
+}
+
+static uint64_t
+request_of (const GsEffect *effect)
+{
+  switch (effect->kind)
+    {
+    case GS_EFFECT_ATTEMPT:
+      return effect->attempt.request;
+    case GS_EFFECT_ANSWER:
+    case GS_EFFECT_KEPT_ANSWER:
+      return effect->answer;
+    case GS_EFFECT_REJECT:
+      return effect->reject.request;
+    case GS_EFFECT_ENTRIES:
+      return effect->entries.request;
+    default:
+      return 0;
+    }
+}
+
+static void
+send_wire (GsEngine *engine, const GsPeerAddress *to, const GsWireMessage *message)
+{
+  gs_peer_send (engine->peer, to, gs_wire_encode (message));
+}
+
+static void
+give_to_waiter (GsEngine *engine, uint64_t request, const GsEffect *effect)
+{
+  GsWaiter *waiter = g_hash_table_lookup (engine->waiters, &request);
+
+  if (waiter == NULL)
+    return;
+  g_queue_push_tail (&waiter->effects, g_memdup2 (effect, sizeof *effect));
+  g_cond_signal (&waiter->cond);
+}
+
+static void
+carry_out (GsEngine *engine, const GsEffect *effect)
+{
+  GsWireMessage message = { 0 };
+
+  switch (effect->kind)
+    {
+    case GS_EFFECT_PROBE:
+      message.kind = GS_WIRE_PROBE;
+      message.probe = effect->probe;
+      send_wire (engine, &effect->to, &message);
+      break;
+    case GS_EFFECT_EVIDENCE:
+      message.kind = GS_WIRE_EVIDENCE;
+      message.evidence = effect->evidence;
+      send_wire (engine, &effect->to, &message);
+      break;
+    case GS_EFFECT_CRASH:
+      message.kind = GS_WIRE_CRASH;
+      message.crash = effect->crash;
+      send_wire (engine, &effect->to, &message);
+      break;
+    case GS_EFFECT_SIGN:
+      message.kind = GS_WIRE_SIGN;
+      message.sign = effect->sign;
+      send_wire (engine, &effect->to, &message);
+      break;
+    case GS_EFFECT_APPEND_CLAIM:
+      gs_engine_requeue_claim (engine, &effect->claim);
+      break;
+    case GS_EFFECT_DROP_CONNECTIONS:
+      gs_client_drop (engine->client, effect->drop.ipv4, effect->drop.peer_port);
+      break;
+    case GS_EFFECT_EDIT_RESULT:
+      if (effect->edit_result.result == GS_EDIT_ACCEPTED)
+        gs_counter_add (GS_COUNTER_EDITS_ACCEPTED, 1);
+      break;
+    case GS_EFFECT_NOTICE:
+      gs_log_fields (effect->notice.number, effect->notice.text);
+      break;
+    default:
+      give_to_waiter (engine, request_of (effect), effect);
+    }
+}
+
+void
+gs_engine_post (GsEngine *engine, GsEvent *event)
+{
+  g_mutex_lock (&engine->lock);
+  event->now_us = g_get_monotonic_time ();
+  gs_core_reduce (engine->core, event, engine->effects);
+  for (uint32_t i = 0; i < gs_effects_count (engine->effects); i++)
+    carry_out (engine, gs_effects_get (engine->effects, i));
+  gs_effects_clear (engine->effects);
+  g_mutex_unlock (&engine->lock);
+}
+
+void
+gs_engine_open (GsEngine *engine, GsWaiter *waiter)
+{
+  g_cond_init (&waiter->cond);
+  g_queue_init (&waiter->effects);
+  g_mutex_lock (&engine->lock);
+  waiter->request = ++engine->next_request;
+  g_hash_table_insert (engine->waiters, &waiter->request, waiter);
+  g_mutex_unlock (&engine->lock);
+}
+
+void
+gs_engine_close (GsEngine *engine, GsWaiter *waiter)
+{
+  g_mutex_lock (&engine->lock);
+  g_hash_table_remove (engine->waiters, &waiter->request);
+  g_mutex_unlock (&engine->lock);
+  g_queue_clear_full (&waiter->effects, g_free);
+  g_cond_clear (&waiter->cond);
+}
+
+bool
+gs_engine_next (GsEngine *engine, GsWaiter *waiter, int64_t wait_us, GsEffect *effect)
+{
+  int64_t until_us = g_get_monotonic_time () + wait_us;
+  GsEffect *next;
+
+  g_mutex_lock (&engine->lock);
+  while (g_queue_is_empty (&waiter->effects)
+         && g_cond_wait_until (&waiter->cond, &engine->lock, until_us))
+    ;
+  next = g_queue_pop_head (&waiter->effects);
+  g_mutex_unlock (&engine->lock);
+  if (next == NULL)
+    return false;
+  *effect = *next;
+  g_free (next);
+  return true;
+}
+
+const GsCore *
+gs_engine_lock (GsEngine *engine)
+{
+  g_mutex_lock (&engine->lock);
+  return engine->core;
+}
+
+void
+gs_engine_unlock (GsEngine *engine)
+{
+  g_mutex_unlock (&engine->lock);
+}
+
+void
+gs_engine_pull_copy (GsEngine *engine, const GsPeerAddress *to, uint64_t from)
+{
+  GsWireMessage message = { .kind = GS_WIRE_COPY_PULL,
+                            .from = from,
+                            .reply_to = { .ipv4 = engine->settings->address,
+                                          .peer_port = (uint16_t)engine->settings->peer_port } };
+
+  send_wire (engine, to, &message);
+}
+
+static void
+answer_pull (GsEngine *engine, const GsWireMessage *pull)
+{
+  GsWireMessage message = { .kind = GS_WIRE_COPY };
+  const GsCore *core = gs_engine_lock (engine);
+  const GsFold *fold = gs_core_fold (core);
+
+  if (gs_fold_complete (fold) && gs_fold_position (fold) > pull->from)
+    message.copy = gs_copy_encode (fold, pull->from);
+  gs_engine_unlock (engine);
+  if (message.copy != NULL)
+    send_wire (engine, &pull->reply_to, &message);
+  gs_wire_clear (&message);
+}
+
+bool
+gs_engine_take_copy (GsEngine *engine, const char *bytes, size_t length)
+{
+  GsCopy copy;
+  GsEvent event = { .kind = GS_EVENT_COPY };
+  g_autofree GsDocument **documents = NULL;
+
+  if (!gs_copy_decode (&copy, bytes, length))
+    return false;
+  documents = g_new0 (GsDocument *, copy.n_entries + 1);
+  for (uint32_t i = 0; i < copy.n_entries; i++)
+    documents[i] = gs_tables_parse (copy.entries[i].workspace, "copy", copy.entries[i].text,
+                                    strlen (copy.entries[i].text), NULL);
+  event.copy = (GsCopyEvent){ .from = copy.from,
+                              .position = copy.position,
+                              .entries = copy.entries,
+                              .documents = documents,
+                              .n_entries = copy.n_entries };
+  gs_engine_post (engine, &event);
+  gs_copy_clear (&copy);
+  return true;
+}
+
+static void
+take_message (GsEngine *engine, GsWireMessage *message)
+{
+  GsEvent event = { 0 };
+  gsize length;
+  const char *bytes;
+
+  switch (message->kind)
+    {
+    case GS_WIRE_PROBE:
+      event.kind = GS_EVENT_PROBE;
+      event.probe = &message->probe;
+      break;
+    case GS_WIRE_EVIDENCE:
+      event.kind = GS_EVENT_EVIDENCE;
+      event.evidence = message->evidence;
+      break;
+    case GS_WIRE_CRASH:
+      event.kind = GS_EVENT_CRASH;
+      event.crash = message->crash;
+      break;
+    case GS_WIRE_SIGN:
+      event.kind = GS_EVENT_UPSTREAM_SIGN;
+      event.sign = message->sign;
+      break;
+    case GS_WIRE_COPY_PULL:
+      answer_pull (engine, message);
+      return;
+    case GS_WIRE_COPY:
+      bytes = g_bytes_get_data (message->copy, &length);
+      if (!gs_engine_take_copy (engine, bytes, length))
+        gs_log (GS_NOTICE_PEER_REFUSED, "kind=copy bytes=%zu", length);
+      return;
+    }
+  gs_engine_post (engine, &event);
+}
+
+static void
+receive (const char *bytes, size_t length, void *data)
+{
+  GsWireMessage message;
+
+  if (!gs_wire_decode (&message, bytes, length))
+    {
+      gs_counter_add (GS_COUNTER_PEER_REFUSED, 1);
+      gs_log (GS_NOTICE_PEER_REFUSED, "kind=unknown bytes=%zu", length);
+      return;
+    }
+  take_message (data, &message);
+  gs_wire_clear (&message);
+}
+
+static gpointer
+tick (gpointer data)
+{
+  GsEngine *engine = data;
+
+  while (!g_atomic_int_get (&engine->ending))
+    {
+      GsEvent event = { .kind = GS_EVENT_TICK };
+      gs_engine_post (engine, &event);
+      g_usleep (ENGINE_TICK_US);
+    }
+  return NULL;
+}
+
+static void
+make_core (GsEngine *engine)
+{
+  const GsSettings *settings = engine->settings;
+  GsCoreOptions options = { .notice_level = (GsLevel)settings->log_level,
+                            .seed = engine->incarnation,
+                            .self = { .ipv4 = settings->address,
+                                      .entry_port = (uint16_t)settings->entry_port,
+                                      .peer_port = (uint16_t)settings->peer_port,
+                                      .incarnation = engine->incarnation } };
+
+  g_strlcpy (options.self.id, settings->instance, sizeof options.self.id);
+  g_strlcpy (options.self.failure_domain, settings->failure_domain,
+             sizeof options.self.failure_domain);
+  engine->core = gs_core_new (&options);
+  engine->effects = gs_effects_new ();
+}
+
+static void
+join_seeds (GsEngine *engine)
+{
+  for (uint32_t i = 0; i < engine->settings->n_seeds; i++)
+    {
+      GsEvent event = { .kind = GS_EVENT_JOIN, .join = engine->settings->seeds[i] };
+      gs_engine_post (engine, &event);
+    }
+}
+
+GsEngine *
+gs_engine_new (const GsSettings *settings, GError **error)
+{
+  GsEngine *engine = g_new0 (GsEngine, 1);
+  GsClientOptions client = { .max_idle = settings->connections_per_upstream };
+  GsPeerOptions peer = { .ipv4 = settings->address,
+                         .port = (uint16_t)settings->peer_port,
+                         .public_key = settings->peer_public_key,
+                         .secret_key = settings->peer_secret_key,
+                         .sink = receive,
+                         .data = engine };
+
+  g_mutex_init (&engine->lock);
+  engine->settings = settings;
+  engine->incarnation = (uint64_t)g_get_real_time ();
+  engine->waiters = g_hash_table_new (g_int64_hash, g_int64_equal);
+  engine->claims = g_async_queue_new_full (g_free);
+  engine->client = gs_client_new (&client);
+  make_core (engine);
+  engine->peer = gs_peer_new (&peer, error);
+  if (engine->peer == NULL)
+    {
+      gs_engine_free (engine);
+      return NULL;
+    }
+  engine->ticker = g_thread_new ("ticker", tick, engine);
+  join_seeds (engine);
+  return engine;
+}
+
+void
+gs_engine_free (GsEngine *engine)
+{
+  g_atomic_int_set (&engine->ending, 1);
+  if (engine->ticker != NULL)
+    g_thread_join (engine->ticker);
+  gs_peer_free (engine->peer);
+  gs_core_free (engine->core);
+  gs_effects_free (engine->effects);
+  gs_client_free (engine->client);
+  g_hash_table_destroy (engine->waiters);
+  g_async_queue_unref (engine->claims);
+  g_mutex_clear (&engine->lock);
+  g_free (engine);
+}
+
+void
+gs_engine_stop (GsEngine *engine)
+{
+  GsEvent event = { .kind = GS_EVENT_STOP };
+
+  g_atomic_int_set (&engine->stopping, 1);
+  gs_engine_post (engine, &event);
+}
+
+bool
+gs_engine_stopping (const GsEngine *engine)
+{
+  return g_atomic_int_get (&engine->stopping) != 0;
+}
+
+const GsSettings *
+gs_engine_settings (const GsEngine *engine)
+{
+  return engine->settings;
+}
+
+GsClient *
+gs_engine_client (const GsEngine *engine)
+{
+  return engine->client;
+}
+
+uint64_t
+gs_engine_incarnation (const GsEngine *engine)
+{
+  return engine->incarnation;
+}
+
+bool
+gs_engine_next_claim (GsEngine *engine, int64_t wait_us, GsClaimRecord *claim)
+{
+  g_autofree GsClaimRecord *next
+      = g_async_queue_timeout_pop (engine->claims, (guint64)MAX (wait_us, 0));
+
+  if (next == NULL)
+    return false;
+  *claim = *next;
+  return true;
+}
+
+void
+gs_engine_requeue_claim (GsEngine *engine, const GsClaimRecord *claim)
+{
+  g_async_queue_push (engine->claims, g_memdup2 (claim, sizeof *claim));
+}
+
+void
+gs_engine_need_log (GsEngine *engine, int change)
+{
+  g_atomic_int_add (&engine->need_log, change);
+}
+
+bool
+gs_engine_needs_log (const GsEngine *engine)
+{
+  return g_atomic_int_get (&engine->need_log) > 0;
+}
--- /dev/null
+++ b/src/gentian/daemon/engine.h
@@ -0,0 +1,92 @@
+/**
+ * NAME
+ *   engine - runs the reducer: turns the world into events and effects into calls
+ *
+ * DESCRIPTION
+ *   Holds the core behind one lock. Any thread posts events; effects that belong to a request go to
+ * the thread that waits for it, all others are carried out at once. A ticker posts the time. The
+ * engine decides nothing.
+ */
+#ifndef GS_ENGINE_H
+#define GS_ENGINE_H
+
+#include <glib.h>
+
+#include "../config/settings.h"
+#include "../core/core.h"
+#include "../http/exchange.h"
+
+enum
+{
+  GS_SIGNATURE_BYTES = 16, /**< of tickets, hops and credentials */
+  GS_SIGNATURE_HEX = 2 * GS_SIGNATURE_BYTES,
+};
+
+typedef struct GsEngine GsEngine;
+
+/** A request's place to wait for its effects. */
+typedef struct
+{
+  uint64_t request;
+  GCond cond;
+  GQueue effects; /* of GsEffect, owned */
+} GsWaiter;
+
+/** RETURN VALUE: an engine whose threads run, or NULL with ERROR. SETTINGS must outlive it. */
+GsEngine *gs_engine_new (const GsSettings *settings, GError **error);
+
+/** Stops all threads. */
+void gs_engine_free (GsEngine *engine);
+
+/** Reduces EVENT (its time is set here) and carries its effects out. */
+void gs_engine_post (GsEngine *engine, GsEvent *event);
+
+/** Opens WAITER for a new request number. */
+void gs_engine_open (GsEngine *engine, GsWaiter *waiter);
+
+/** Closes WAITER; later effects of its request are dropped. */
+void gs_engine_close (GsEngine *engine, GsWaiter *waiter);
+
+/** Waits for the next effect of WAITER for WAIT_US. RETURN VALUE: true and EFFECT, or false. */
+bool gs_engine_next (GsEngine *engine, GsWaiter *waiter, int64_t wait_us, GsEffect *effect);
+
+/** Locks the core for reading its state. */
+const GsCore *gs_engine_lock (GsEngine *engine);
+void gs_engine_unlock (GsEngine *engine);
+
+/** Begins a planned stop. */
+void gs_engine_stop (GsEngine *engine);
+
+/** RETURN VALUE: true once gs_engine_stop was called. */
+bool gs_engine_stopping (const GsEngine *engine);
+
+const GsSettings *gs_engine_settings (const GsEngine *engine);
+GsClient *gs_engine_client (const GsEngine *engine);
+uint64_t gs_engine_incarnation (const GsEngine *engine);
+
+/** Sends the daemon at TO a pull for all tables above FROM. */
+void gs_engine_pull_copy (GsEngine *engine, const GsPeerAddress *to, uint64_t from);
+
+/** Parses and posts a copy received as LENGTH bytes. RETURN VALUE: false when it is malformed. */
+bool gs_engine_take_copy (GsEngine *engine, const char *bytes, size_t length);
+
+/** RETURN VALUE: the next claim to append, waiting WAIT_US for it; false when there is none. */
+bool gs_engine_next_claim (GsEngine *engine, int64_t wait_us, GsClaimRecord *claim);
+
+/** Puts CLAIM back in the line of claims to append. */
+void gs_engine_requeue_claim (GsEngine *engine, const GsClaimRecord *claim);
+
+/** Asks that this daemon reads the log itself (a submission is under way here). */
+void gs_engine_need_log (GsEngine *engine, int change);
+
+/** RETURN VALUE: true when this daemon has to read the log itself. */
+bool gs_engine_needs_log (const GsEngine *engine);
+
+/** Writes the hex signature of TEXT under KEY (64 hex digits) to OUT (GS_SIGNATURE_HEX + 1 bytes).
+ */
+void gs_sign (const char *key, const char *text, char *out);
+
+/** RETURN VALUE: true when SIGNATURE is that of TEXT under KEY; in constant time. */
+bool gs_signed (const char *key, const char *text, const char *signature);
+
+#endif
--- /dev/null
+++ b/src/gentian/daemon/follower.h
@@ -0,0 +1,25 @@
+/**
+ * NAME
+ *   follower - keeps a daemon's tables and claims in step with the platform's log
+ *
+ * DESCRIPTION
+ *   Two threads. The first follows the stream of edits and the platform's instance list: a few
+ * daemons of each failure domain read the log themselves, the others pull from a peer whose
+ * messages name a higher position; a daemon that has no tables tries both. It appends a snapshot
+ * before records expire. The second follows the claims streams for which this daemon claims keys at
+ * the moment, and appends claims in batches within a rate.
+ */
+#ifndef GS_FOLLOWER_H
+#define GS_FOLLOWER_H
+
+#include "engine.h"
+
+#define GS_CONFIG_STREAM "config"
+
+typedef struct GsFollower GsFollower;
+
+/** RETURN VALUE: a follower whose threads run for ENGINE. */
+GsFollower *gs_follower_new (GsEngine *engine);
+void gs_follower_free (GsFollower *follower);
+
+#endif
--- /dev/null
+++ b/src/gentian/http/entry.c
@@ -0,0 +1,831 @@
+#include "entry.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+
+#include "../log/counter.h"
+#include "../log/log.h"
+#include "kept.h"
+
+enum
+{
+  ENTRY_MEMORY_BYTES = 64 * 1024, /* of a connection, for its headers */
+  ENTRY_STACK_BYTES = 512 * 1024,
+  ENTRY_IDLE_S = 75,
+  ENTRY_BACKLOG = 1024,
+  ENTRY_STREAM_BLOCK_BYTES = 64 * 1024,
+  ENTRY_RIGHT_MAX = 320,
+};
+
+#define ENTRY_WAIT_US (20 * GS_US_PER_MS)
+/** Inactivity after which a large answer counts as broken off. */
+#define ENTRY_STREAM_TIMEOUT_US (30 * GS_US_PER_S)
+
+struct GsEntry
+{
+  GsEngine *engine;
+  GsKept *kept;
+  struct _u_instance server;
+  bool started;
+  gint in_flight;
+  GMutex lock;
+  GHashTable *callers; /* address and port -> socket */
+};
+
+/* One request on its way through this daemon. */
+typedef struct
+{
+  GsEntry *entry;
+  const struct _u_request *request;
+  struct _u_response *response;
+  GsWaiter waiter;
+  GsRequestEvent event;
+  char host[256];
+  char right[ENTRY_RIGHT_MAX]; /* name under which the answer is kept; empty: not kept */
+  int caller_fd;
+  int64_t deadline_us;
+  GsExchange *exchange; /* of the last attempt */
+  uint64_t attempt;
+  bool forwarded;
+} Passage;
+
+/* A large answer that streams after the callback has returned. */
+typedef struct
+{
+  GsEntry *entry;
+  GsExchange *exchange;
+  uint64_t attempt;
+  bool broken;
+} Stream;
+
+static int64_t
+caller_key (const struct sockaddr *address)
+{
+  const struct sockaddr_in *ipv4 = (const struct sockaddr_in *)(const void *)address;
+
+  if (address == NULL || address->sa_family != AF_INET)
+    return 0;
+  return (int64_t)ntohl (ipv4->sin_addr.s_addr) << 16 | ntohs (ipv4->sin_port);
+}
+
+/* libmicrohttpd tells of connections here, so that a caller's end can be noticed. */
+static void
+note_connection (void *data,
+                 struct MHD_Connection *connection,
+                 void **context,
+                 enum MHD_ConnectionNotificationCode code)
+{
+  GsEntry *entry = data;
+  const union MHD_ConnectionInfo *address
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  const union MHD_ConnectionInfo *fd
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  int64_t key = address != NULL ? caller_key (address->client_addr) : 0;
+
+  (void)context;
+  g_mutex_lock (&entry->lock);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED && fd != NULL)
+    g_hash_table_replace (entry->callers, g_memdup2 (&key, sizeof key),
+                          GINT_TO_POINTER (fd->connect_fd + 1));
+  else
+    g_hash_table_remove (entry->callers, &key);
+  g_mutex_unlock (&entry->lock);
+}
+
+static int
+caller_socket (GsEntry *entry, const struct _u_request *request)
+{
+  int64_t key = caller_key (request->client_address);
+  int fd;
+
+  g_mutex_lock (&entry->lock);
+  fd = GPOINTER_TO_INT (g_hash_table_lookup (entry->callers, &key)) - 1;
+  g_mutex_unlock (&entry->lock);
+  return fd;
+}
+
+static const char *
+header (const struct _u_request *request, const char *name)
+{
+  return u_map_get_case (request->map_header, name);
+}
+
+static void
+answer_error (struct _u_response *response,
+              unsigned int status,
+              GsVerdict verdict,
+              const char *reason)
+{
+  g_autofree char *body = g_strdup_printf ("{\"verdict\":\"%s\",\"reason\":\"%s\"}\n",
+                                           gs_verdict_name (verdict), reason);
+
+  gs_counter_add (verdict == GS_VERDICT_NOT_RUN ? GS_COUNTER_REJECTED_NOT_RUN
+                                                : GS_COUNTER_REJECTED_MAY_HAVE_RUN,
+                  1);
+  u_map_put (response->map_header, "Gentian-Verdict", gs_verdict_name (verdict));
+  u_map_put (response->map_header, "Content-Type", "application/json");
+  ulfius_set_string_body_response (response, status, body);
+}
+
+static void
+refuse_unread (struct _u_response *response, unsigned int status, const char *reason)
+{
+  gs_log (GS_NOTICE_REQUEST_REFUSED, "status=%u reason=%s", status, reason);
+  answer_error (response, status, GS_VERDICT_NOT_RUN, reason);
+}
+
+/* Text that a hop header signs: what another daemon may forward is bound to host, method and
+ * target. */
+static char *
+hop_text (const char *host, const struct _u_request *request)
+{
+  return g_strdup_printf ("hop %s %s %s", host, request->http_verb, request->http_url);
+}
+
+/* Ticket: INSTANCE.INCARNATION.NUMBER.SIGNATURE, all numbers in hex. */
+static char *
+make_ticket (GsEngine *engine, uint64_t number)
+{
+  const GsSettings *settings = gs_engine_settings (engine);
+  char signature[GS_SIGNATURE_HEX + 1];
+  g_autofree char *text
+      = g_strdup_printf ("%s/%" G_GINT64_MODIFIER "x/%" G_GINT64_MODIFIER "x", settings->instance,
+                         gs_engine_incarnation (engine), number);
+
+  gs_sign (settings->fleet_key, text, signature);
+  return g_strdup_printf ("%s/%s", text, signature);
+}
+
+static bool
+parse_ticket (GsEngine *engine, const char *ticket, GsRight *right)
+{
+  g_auto (GStrv) parts = g_strsplit (ticket, "/", 5);
+  g_autofree char *text = NULL;
+
+  if (strlen (ticket) >= ENTRY_RIGHT_MAX || g_strv_length (parts) != 4
+      || strlen (parts[0]) > GS_NAME_MAX)
+    return false;
+  text = g_strdup_printf ("%s/%s/%s", parts[0], parts[1], parts[2]);
+  if (!gs_signed (gs_engine_settings (engine)->fleet_key, text, parts[3]))
+    return false;
+  right->kind = GS_RIGHT_TICKET;
+  g_strlcpy (right->issuer, parts[0], sizeof right->issuer);
+  right->incarnation = g_ascii_strtoull (parts[1], NULL, 16);
+  right->number = g_ascii_strtoull (parts[2], NULL, 16);
+  return true;
+}
+
+/* RETURN VALUE: reason of a refusal, or NULL. */
+static const char *
+read_right (Passage *passage)
+{
+  const char *ticket = header (passage->request, "Gentian-Ticket");
+  const char *key = header (passage->request, "Idempotency-Key");
+  GsRight *right = &passage->event.right;
+
+  if (ticket != NULL && key != NULL)
+    return "ticket-and-key";
+  if (ticket != NULL)
+    {
+      if (!parse_ticket (passage->entry->engine, ticket, right))
+        return "bad-ticket";
+      g_snprintf (passage->right, sizeof passage->right, "ticket %s", ticket);
+    }
+  else if (key != NULL)
+    {
+      if (strlen (key) > GS_CLAIM_KEY_MAX)
+        return "key-too-long";
+      right->kind = GS_RIGHT_KEY;
+      right->key = key;
+      g_snprintf (passage->right, sizeof passage->right, "key %s %s", passage->host, key);
+    }
+  return NULL;
+}
+
+static const char *
+read_hop (Passage *passage)
+{
+  const char *hop = header (passage->request, "Gentian-Hop");
+  g_autofree char *text = NULL;
+
+  if (hop == NULL)
+    return NULL;
+  text = hop_text (passage->host, passage->request);
+  passage->event.hop
+      = gs_signed (gs_engine_settings (passage->entry->engine)->fleet_key, text, hop);
+  return passage->event.hop ? NULL : "bad-hop";
+}
+
+static const char *
+read_timeout (Passage *passage)
+{
+  const char *timeout = header (passage->request, "Gentian-Timeout-Ms");
+  guint64 value;
+
+  if (timeout == NULL)
+    return NULL;
+  if (!g_ascii_string_to_unsigned (timeout, 10, 1, 3600000, &value, NULL))
+    return "bad-timeout";
+  passage->event.timeout_ms = (uint32_t)value;
+  return NULL;
+}
+
+static void
+read_host (const struct _u_request *request, char *out, size_t size)
+{
+  const char *host = header (request, "Host");
+  char *port;
+
+  g_strlcpy (out, host != NULL ? host : "", size);
+  port = strchr (out, ':');
+  if (port != NULL)
+    *port = '\0';
+}
+
+static uint64_t
+fingerprint (const struct _u_request *request)
+{
+  uint64_t hash = gs_hash_bytes (request->http_verb, strlen (request->http_verb), 1);
+
+  hash = gs_hash_bytes (request->http_url, strlen (request->http_url), hash);
+  if (request->binary_body_length > 0)
+    hash = gs_hash_bytes (request->binary_body, request->binary_body_length, hash);
+  return hash;
+}
+
+static bool
+body_fits (const Passage *passage)
+{
+  const char *length = header (passage->request, "Content-Length");
+  uint32_t max = gs_engine_settings (passage->entry->engine)->max_body_bytes;
+
+  if (passage->request->binary_body_length > max)
+    return false;
+  return length == NULL
+         || g_ascii_strtoull (length, NULL, 10) == passage->request->binary_body_length;
+}
+
+/* RETURN VALUE: reason of a refusal, or NULL. */
+static const char *
+read_request (Passage *passage)
+{
+  const char *reason;
+
+  read_host (passage->request, passage->host, sizeof passage->host);
+  passage->event.host = passage->host;
+  passage->event.path = passage->request->url_path;
+  passage->event.request = passage->waiter.request;
+  passage->event.fingerprint = fingerprint (passage->request);
+  reason = read_right (passage);
+  if (reason == NULL)
+    reason = read_hop (passage);
+  return reason != NULL ? reason : read_timeout (passage);
+}
+
+static bool
+is_passed_on (const char *name, bool forward, bool with_right)
+{
+  if (gs_header_is_hop (name) || g_ascii_strcasecmp (name, "Gentian-Hop") == 0
+      || g_ascii_strcasecmp (name, "Gentian-Timeout-Ms") == 0
+      || g_ascii_strcasecmp (name, "Gentian-Attempt") == 0)
+    return false;
+  if (g_ascii_strcasecmp (name, "Gentian-Ticket") == 0)
+    return with_right;
+  if (g_ascii_strcasecmp (name, "Idempotency-Key") == 0)
+    return with_right || !forward;
+  return true;
+}
+
+static GPtrArray *
+make_headers (Passage *passage, const GsAttemptEffect *attempt)
+{
+  GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
+  const char **names = u_map_enum_keys (passage->request->map_header);
+  int64_t left_us = attempt->deadline_us - g_get_monotonic_time ();
+
+  for (int i = 0; names[i] != NULL; i++)
+    if (is_passed_on (names[i], attempt->forward, attempt->with_right))
+      {
+        const char *value = u_map_get (passage->request->map_header, names[i]);
+        g_ptr_array_add (headers, *value != '\0' ? g_strdup_printf ("%s: %s", names[i], value)
+                                                 : g_strdup_printf ("%s;", names[i]));
+      }
+  g_ptr_array_add (headers, g_strdup ("Expect:"));
+  g_ptr_array_add (headers,
+                   g_strdup_printf ("%s: %" G_GINT64_FORMAT,
+                                    attempt->forward ? "Gentian-Timeout-Ms" : "Gentian-Deadline-Ms",
+                                    MAX (left_us / GS_US_PER_MS, 1)));
+  if (attempt->forward)
+    {
+      char signature[GS_SIGNATURE_HEX + 1];
+      g_autofree char *text = hop_text (passage->host, passage->request);
+      gs_sign (gs_engine_settings (passage->entry->engine)->fleet_key, text, signature);
+      g_ptr_array_add (headers, g_strdup_printf ("Gentian-Hop: %s", signature));
+    }
+  else
+    g_ptr_array_add (headers,
+                     g_strdup_printf ("Gentian-Attempt: %" G_GUINT64_FORMAT, attempt->attempt));
+  return headers;
+}
+
+/* What a whole answer means: a refusal that states it was not run, an error, or success. */
+static GsOutcome
+judge_answer (const GsExchange *exchange, bool forward)
+{
+  const char *verdict = gs_exchange_header (exchange, "Gentian-Verdict");
+
+  if (verdict != NULL && strcmp (verdict, "not-run") == 0 && gs_exchange_status (exchange) == 503)
+    return gs_exchange_header (exchange, "Gentian-Leaving") != NULL && !forward
+               ? GS_OUTCOME_LEAVING
+               : GS_OUTCOME_REFUSED;
+  if (gs_exchange_status (exchange) >= 500 && !forward)
+    return GS_OUTCOME_ERROR;
+  return GS_OUTCOME_OK;
+}
+
+static void
+note_leaving (Passage *passage, const char *upstream)
+{
+  GsEvent event
+      = { .kind = GS_EVENT_UPSTREAM_SIGN, .sign = { .leaving = true, .tell_peers = true } };
+
+  if (passage->forwarded || gs_exchange_header (passage->exchange, "Gentian-Leaving") == NULL)
+    return;
+  g_strlcpy (event.sign.upstream, upstream, sizeof event.sign.upstream);
+  gs_engine_post (passage->entry->engine, &event);
+}
+
+static void
+add_to_array (const char *name, const char *value, void *data)
+{
+  g_ptr_array_add (data, g_strdup (name));
+  g_ptr_array_add (data, g_strdup (value));
+}
+
+/* Keeps the answer for resends before the reducer learns that there is one. */
+static void
+keep_answer (Passage *passage, GsOutcome outcome)
+{
+  GsKeptAnswer answer = { .fingerprint = passage->event.fingerprint,
+                          .status = gs_exchange_status (passage->exchange) };
+  size_t length;
+  const void *body = gs_exchange_body (passage->exchange, &length);
+
+  if (passage->right[0] == '\0' || (outcome != GS_OUTCOME_OK && outcome != GS_OUTCOME_ERROR))
+    return;
+  answer.headers = g_ptr_array_new_with_free_func (g_free);
+  gs_exchange_headers (passage->exchange, add_to_array, answer.headers);
+  answer.body = g_bytes_new (body, length);
+  gs_kept_put (passage->entry->kept, passage->right, &answer);
+  gs_kept_answer_clear (&answer);
+}
+
+static void
+post_attempt_end (Passage *passage, GsOutcome outcome)
+{
+  GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
+                    .attempt_end = { .attempt = passage->attempt,
+                                     .outcome = outcome,
+                                     .answer_us = gs_exchange_answer_us (passage->exchange),
+                                     .kept_connection = gs_exchange_kept (passage->exchange) } };
+
+  gs_engine_post (passage->entry->engine, &event);
+}
+
+/* Makes one attempt. RETURN VALUE: true when a large answer has begun. */
+static bool
+attempt (Passage *passage, const GsAttemptEffect *effect)
+{
+  g_autoptr (GPtrArray) headers = make_headers (passage, effect);
+  GsExchangeOptions options = { .ipv4 = effect->ipv4,
+                                .port = effect->port,
+                                .method = passage->request->http_verb,
+                                .target = passage->request->http_url,
+                                .headers = headers,
+                                .body = passage->request->binary_body,
+                                .body_length = passage->request->binary_body_length,
+                                .timeout_us = effect->timeout_us,
+                                .caller_fd = passage->caller_fd,
+                                .attempt = effect->forward ? 0 : effect->attempt };
+  GsOutcome outcome;
+
+  g_clear_pointer (&passage->exchange, gs_exchange_free);
+  gs_counter_add (effect->forward ? GS_COUNTER_FORWARDS : GS_COUNTER_ATTEMPTS, 1);
+  passage->attempt = effect->attempt;
+  passage->forwarded = effect->forward;
+  passage->exchange = gs_exchange_new (gs_engine_client (passage->entry->engine), &options);
+  gs_exchange_run (passage->exchange);
+  if (gs_exchange_state (passage->exchange) == GS_EXCHANGE_LARGE)
+    return true;
+  outcome = gs_exchange_outcome (passage->exchange);
+  if (gs_exchange_state (passage->exchange) == GS_EXCHANGE_WHOLE)
+    {
+      outcome = judge_answer (passage->exchange, effect->forward);
+      note_leaving (passage, effect->target);
+      if (!effect->with_right)
+        keep_answer (passage, outcome);
+    }
+  post_attempt_end (passage, outcome);
+  return false;
+}
+
+static void
+add_to_response (const char *name, const char *value, void *data)
+{
+  if (g_ascii_strcasecmp (name, "Gentian-Attempt") != 0)
+    u_map_put (data, name, value);
+}
+
+static void
+pass_answer (Passage *passage)
+{
+  size_t length;
+  const void *body = gs_exchange_body (passage->exchange, &length);
+
+  gs_counter_add (GS_COUNTER_ANSWERS, 1);
+  gs_exchange_headers (passage->exchange, add_to_response, passage->response->map_header);
+  if (gs_exchange_status (passage->exchange) >= 500
+      && !u_map_has_key_case (passage->response->map_header, "Gentian-Verdict"))
+    u_map_put (passage->response->map_header, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  ulfius_set_binary_body_response (
+      passage->response, (unsigned int)gs_exchange_status (passage->exchange), body, length);
+}
+
+static void
+pass_kept_answer (Passage *passage)
+{
+  GsKeptAnswer answer = { 0 };
+  gsize length;
+  const char *body;
+
+  if (!gs_kept_get (passage->entry->kept, passage->right, &answer))
+    {
+      answer_error (passage->response, 409, GS_VERDICT_RAN, "answer-not-kept");
+      return;
+    }
+  if (answer.fingerprint != passage->event.fingerprint)
+    answer_error (passage->response, 422, GS_VERDICT_NOT_RUN, "right-used-for-another-request");
+  else
+    {
+      for (guint i = 0; i + 1 < answer.headers->len; i += 2)
+        add_to_response (g_ptr_array_index (answer.headers, i),
+                         g_ptr_array_index (answer.headers, i + 1), passage->response->map_header);
+      u_map_put (passage->response->map_header, "Gentian-Kept-Answer", "true");
+      body = g_bytes_get_data (answer.body, &length);
+      ulfius_set_binary_body_response (passage->response, (unsigned int)answer.status, body,
+                                       length);
+    }
+  gs_kept_answer_clear (&answer);
+}
+
+static ssize_t
+stream_read (void *data, uint64_t offset, char *out, size_t max)
+{
+  Stream *stream = data;
+  ssize_t got = gs_exchange_read (stream->exchange, out, max);
+
+  (void)offset;
+  if (got > 0)
+    return got;
+  if (got == 0)
+    return U_STREAM_END;
+  stream->broken = true;
+  return U_STREAM_ERROR;
+}
+
+static void
+stream_free (void *data)
+{
+  Stream *stream = data;
+  GsOutcome outcome = gs_exchange_outcome (stream->exchange);
+  GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
+                    .attempt_end = { .attempt = stream->attempt,
+                                     .outcome = outcome,
+                                     .answer_us = gs_exchange_answer_us (stream->exchange),
+                                     .committed = true,
+                                     .kept_connection = gs_exchange_kept (stream->exchange) } };
+
+  if (stream->broken)
+    gs_counter_add (GS_COUNTER_ANSWERS_BROKEN, 1);
+  else
+    gs_counter_add (GS_COUNTER_ANSWERS, 1);
+  gs_engine_post (stream->entry->engine, &event);
+  gs_exchange_free (stream->exchange);
+  g_free (stream);
+}
+
+/* Passes a large answer on piece by piece; it ends the passage. */
+static void
+pass_stream (Passage *passage)
+{
+  Stream *stream = g_new0 (Stream, 1);
+  int64_t length = gs_exchange_length (passage->exchange);
+  GsEvent began = { .kind = GS_EVENT_ATTEMPT_BEGAN, .attempt_began = passage->attempt };
+
+  gs_engine_post (passage->entry->engine, &began);
+  stream->entry = passage->entry;
+  stream->exchange = g_steal_pointer (&passage->exchange);
+  stream->attempt = passage->attempt;
+  gs_exchange_headers (stream->exchange, add_to_response, passage->response->map_header);
+  ulfius_set_stream_response (passage->response,
+                              (unsigned int)gs_exchange_status (stream->exchange), stream_read,
+                              stream_free, length >= 0 ? (uint64_t)length : U_STREAM_SIZE_UNKNOWN,
+                              ENTRY_STREAM_BLOCK_BYTES, stream);
+}
+
+static void
+wait_in_line (Passage *passage)
+{
+  GsEvent left = { .kind = GS_EVENT_CALLER_LEFT, .caller_left = passage->waiter.request };
+
+  if (gs_caller_left (passage->caller_fd))
+    gs_engine_post (passage->entry->engine, &left);
+}
+
+/* Carries out the effects of the request until it is answered. */
+static void
+follow (Passage *passage)
+{
+  GsEffect effect;
+  int64_t give_up_us = g_get_monotonic_time () + 3700 * GS_US_PER_S;
+
+  while (g_get_monotonic_time () < give_up_us)
+    {
+      if (!gs_engine_next (passage->entry->engine, &passage->waiter, ENTRY_WAIT_US, &effect))
+        {
+          wait_in_line (passage);
+          if (gs_caller_left (passage->caller_fd))
+            return;
+          continue;
+        }
+      switch (effect.kind)
+        {
+        case GS_EFFECT_ATTEMPT:
+          if (attempt (passage, &effect.attempt))
+            {
+              pass_stream (passage);
+              return;
+            }
+          if (gs_exchange_outcome (passage->exchange) == GS_OUTCOME_CANCELLED)
+            return;
+          break;
+        case GS_EFFECT_ANSWER:
+          pass_answer (passage);
+          return;
+        case GS_EFFECT_KEPT_ANSWER:
+          pass_kept_answer (passage);
+          return;
+        case GS_EFFECT_REJECT:
+          answer_error (passage->response, effect.reject.status, effect.reject.verdict,
+                        effect.reject.reason);
+          return;
+        default:
+          break;
+        }
+    }
+}
+
+static void
+close_when_stopping (GsEntry *entry, struct _u_response *response)
+{
+  if (gs_engine_stopping (entry->engine))
+    u_map_put (response->map_header, "Connection", "close");
+}
+
+static int
+handle_request (const struct _u_request *request, struct _u_response *response, void *data)
+{
+  GsEntry *entry = data;
+  Passage passage = { .entry = entry, .request = request, .response = response };
+  const char *reason;
+
+  gs_counter_add (GS_COUNTER_REQUESTS, 1);
+  gs_engine_open (entry->engine, &passage.waiter);
+  passage.caller_fd = caller_socket (entry, request);
+  reason = read_request (&passage);
+  if (reason != NULL)
+    refuse_unread (response, 400, reason);
+  else if (!body_fits (&passage))
+    refuse_unread (response, 413, "body-too-large");
+  else
+    {
+      GsEvent event = { .kind = GS_EVENT_REQUEST, .request = passage.event };
+      gs_engine_post (entry->engine, &event);
+      follow (&passage);
+    }
+  close_when_stopping (entry, response);
+  g_clear_pointer (&passage.exchange, gs_exchange_free);
+  gs_engine_close (entry->engine, &passage.waiter);
+  return U_CALLBACK_COMPLETE;
+}
+
+static json_t *
+describe_member (const GsMemberFact *member)
+{
+  g_autofree char *address
+      = g_strdup_printf ("%u.%u.%u.%u:%u", member->ipv4 >> 24, (member->ipv4 >> 16) & 255,
+                         (member->ipv4 >> 8) & 255, member->ipv4 & 255, member->entry_port);
+
+  return json_pack ("{s:s, s:s, s:s}", "address", address, "instance", member->id, "failure_domain",
+                    member->failure_domain);
+}
+
+static void
+answer_entries (GsEntry *entry, const GsEntriesEffect *entries, struct _u_response *response)
+{
+  json_t *list = json_array ();
+  json_t *answer;
+
+  for (uint32_t i = 0; i < entries->n_members; i++)
+    json_array_append_new (list, describe_member (&entries->members[i]));
+  answer = json_pack ("{s:o, s:I}", "entries", list, "life_ms",
+                      (json_int_t)(entries->life_us / GS_US_PER_MS));
+  if (entries->ticket != 0)
+    {
+      const GsSettings *settings = gs_engine_settings (entry->engine);
+      g_autofree char *ticket = make_ticket (entry->engine, entries->ticket);
+      GsMemberFact self
+          = { .ipv4 = settings->address, .entry_port = (uint16_t)settings->entry_port };
+      g_strlcpy (self.id, settings->instance, sizeof self.id);
+      g_strlcpy (self.failure_domain, settings->failure_domain, sizeof self.failure_domain);
+      json_object_set_new (answer, "ticket", json_string (ticket));
+      json_object_set_new (answer, "ticket_entry", describe_member (&self));
+    }
+  ulfius_set_json_body_response (response, 200, answer);
+  json_decref (answer);
+}
+
+/* Puts the address question to a home, which can issue a ticket. RETURN VALUE: true when it
+ * answered. */
+static bool
+ask_home (GsEntry *entry,
+          const GsMemberFact *home,
+          const struct _u_request *request,
+          struct _u_response *response)
+{
+  g_autoptr (GPtrArray) headers = g_ptr_array_new ();
+  g_autofree char *target = g_strconcat (request->http_url, "&asked=1", NULL);
+  GsExchangeOptions options = { .ipv4 = home->ipv4,
+                                .port = home->entry_port,
+                                .method = "GET",
+                                .target = target,
+                                .headers = headers,
+                                .timeout_us = GS_US_PER_S,
+                                .caller_fd = -1 };
+  GsExchange *exchange = gs_exchange_new (gs_engine_client (entry->engine), &options);
+  size_t length;
+  const void *body;
+  bool answered;
+
+  gs_exchange_run (exchange);
+  answered
+      = gs_exchange_state (exchange) == GS_EXCHANGE_WHOLE && gs_exchange_status (exchange) == 200;
+  if (answered)
+    {
+      body = gs_exchange_body (exchange, &length);
+      u_map_put (response->map_header, "Content-Type", "application/json");
+      ulfius_set_binary_body_response (response, 200, body, length);
+    }
+  gs_exchange_free (exchange);
+  return answered;
+}
+
+static bool
+relay_to_homes (GsEntry *entry,
+                const GsEntriesEffect *entries,
+                const struct _u_request *request,
+                struct _u_response *response)
+{
+  if (!entries->ask_home || u_map_has_key (request->map_url, "asked"))
+    return false;
+  for (uint32_t i = 0; i < entries->n_members; i++)
+    if (ask_home (entry, &entries->members[i], request, response))
+      return true;
+  return false;
+}
+
+static int
+handle_entries (const struct _u_request *request, struct _u_response *response, void *data)
+{
+  GsEntry *entry = data;
+  GsWaiter waiter;
+  GsEffect effect;
+  GsEvent event = { .kind = GS_EVENT_ENTRIES };
+
+  gs_counter_add (GS_COUNTER_ENTRIES, 1);
+  gs_engine_open (entry->engine, &waiter);
+  event.entries.request = waiter.request;
+  event.entries.host = u_map_get (request->map_url, "host");
+  event.entries.path = u_map_get (request->map_url, "path");
+  if (event.entries.host != NULL && event.entries.path == NULL)
+    event.entries.path = "/";
+  gs_engine_post (entry->engine, &event);
+  if (!gs_engine_next (entry->engine, &waiter, GS_US_PER_S, &effect) || effect.entries.unavailable)
+    answer_error (response, 503, GS_VERDICT_NOT_RUN, "no-tables");
+  else if (!relay_to_homes (entry, &effect.entries, request, response))
+    answer_entries (entry, &effect.entries, response);
+  close_when_stopping (entry, response);
+  gs_engine_close (entry->engine, &waiter);
+  return U_CALLBACK_COMPLETE;
+}
+
+/* A request counts as in flight from its first line until its answer has been sent. */
+static void *
+note_begun (void *data, const char *uri)
+{
+  GsEntry *entry = data;
+
+  g_atomic_int_inc (&entry->in_flight);
+  return ulfius_uri_logger (&entry->server, uri);
+}
+
+static void
+note_completed (void *data,
+                struct MHD_Connection *connection,
+                void **context,
+                enum MHD_RequestTerminationCode code)
+{
+  GsEntry *entry = data;
+
+  mhd_request_completed (&entry->server, connection, context, code);
+  g_atomic_int_add (&entry->in_flight, -1);
+}
+
+static int
+start_server (GsEntry *entry)
+{
+  const GsSettings *settings = gs_engine_settings (entry->engine);
+  struct MHD_OptionItem options[]
+      = { { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)note_completed, entry },
+          { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)note_connection, entry },
+          { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)note_begun, entry },
+          { MHD_OPTION_SOCK_ADDR, 0, entry->server.bind_address },
+          { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)settings->max_callers, NULL },
+          { MHD_OPTION_CONNECTION_MEMORY_LIMIT, ENTRY_MEMORY_BYTES, NULL },
+          { MHD_OPTION_CONNECTION_TIMEOUT, ENTRY_IDLE_S, NULL },
+          { MHD_OPTION_THREAD_STACK_SIZE, ENTRY_STACK_BYTES, NULL },
+          { MHD_OPTION_LISTEN_BACKLOG_SIZE, ENTRY_BACKLOG, NULL },
+          { MHD_OPTION_END, 0, NULL } };
+
+  return ulfius_start_framework_with_mhd_options (
+      &entry->server,
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC | MHD_USE_POLL,
+      options);
+}
+
+GsEntry *
+gs_entry_new (GsEngine *engine, GError **error)
+{
+  const GsSettings *settings = gs_engine_settings (engine);
+  GsEntry *entry = g_new0 (GsEntry, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)settings->entry_port),
+                                 .sin_addr.s_addr = htonl (settings->address) };
+
+  entry->engine = engine;
+  entry->kept = gs_kept_new (settings->kept_answers_bytes);
+  entry->callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  g_mutex_init (&entry->lock);
+  ulfius_init_instance (&entry->server, settings->entry_port, &address, NULL);
+  entry->server.max_post_body_size = settings->max_body_bytes + 1;
+  entry->server.check_utf8 = 0;
+  entry->server.allowed_post_processor = U_POST_PROCESS_NONE;
+  ulfius_add_endpoint_by_val (&entry->server, "GET", "/v1/entries", NULL, 0, handle_entries, entry);
+  ulfius_set_default_endpoint (&entry->server, handle_request, entry);
+  entry->started = start_server (entry) == U_OK;
+  if (entry->started)
+    return entry;
+  g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "cannot listen for callers at port %u",
+               settings->entry_port);
+  gs_entry_free (entry);
+  return NULL;
+}
+
+void
+gs_entry_quiesce (GsEntry *entry)
+{
+  MHD_socket listener = MHD_quiesce_daemon (entry->server.mhd_daemon);
+
+  if (listener != MHD_INVALID_SOCKET)
+    shutdown (listener, SHUT_RDWR);
+}
+
+uint32_t
+gs_entry_in_flight (GsEntry *entry)
+{
+  return (uint32_t)g_atomic_int_get (&entry->in_flight);
+}
+
+void
+gs_entry_free (GsEntry *entry)
+{
+  if (entry->started)
+    ulfius_stop_framework (&entry->server);
+  ulfius_clean_instance (&entry->server);
+  gs_kept_free (entry->kept);
+  g_hash_table_destroy (entry->callers);
+  g_mutex_clear (&entry->lock);
+  g_free (entry);
+}
--- /dev/null
+++ b/src/gentian/http/entry.h
@@ -0,0 +1,34 @@
+/**
+ * NAME
+ *   entry - the server for callers
+ *
+ * DESCRIPTION
+ *   An ulfius server on the entry port, a thread for each connection. `GET /v1/entries` answers the
+ * address question; every other request is carried to an upstream as the reducer decides. The
+ * thread of a request makes its attempts itself and passes the answer on; a large answer streams.
+ * Every answer that the daemon makes itself carries Gentian-Verdict and a JSON body that names the
+ * reason.
+ *
+ *   Headers from callers: Gentian-Ticket or Idempotency-Key (a right), Gentian-Timeout-Ms. Between
+ * daemons: Gentian-Hop (signed). To upstreams: Gentian-Attempt, Gentian-Deadline-Ms.
+ */
+#ifndef GS_ENTRY_H
+#define GS_ENTRY_H
+
+#include "../daemon/engine.h"
+
+typedef struct GsEntry GsEntry;
+
+/** RETURN VALUE: a started server, or NULL with ERROR when the port cannot be had. */
+GsEntry *gs_entry_new (GsEngine *engine, GError **error);
+
+/** Stops listening; requests in flight go on. */
+void gs_entry_quiesce (GsEntry *entry);
+
+/** RETURN VALUE: requests in flight, answers that still stream included. */
+uint32_t gs_entry_in_flight (GsEntry *entry);
+
+/** Ends the server; requests in flight are cut. */
+void gs_entry_free (GsEntry *entry);
+
+#endif
--- /dev/null
+++ b/src/gentian/http/exchange.h
@@ -0,0 +1,114 @@
+/**
+ * NAME
+ *   exchange - one request and its answer over a kept connection, by libcurl
+ *
+ * SYNOPSIS
+ *   GsExchange *exchange = gs_exchange_new (client, &options);
+ *   gs_exchange_run (exchange);
+ *   if (gs_exchange_state (exchange) == GS_EXCHANGE_WHOLE) ...
+ *   gs_exchange_free (exchange);
+ *
+ * DESCRIPTION
+ *   A connection carries one request at a time. libcurl sends a request again by itself when a kept
+ *   connection turns out to be dead; the hook before sending refuses that, so the bytes of a
+ * request leave at most once, and an exchange whose hook was never reached certainly sent nothing.
+ * An answer counts as whole only when its length or its last chunk says so. After a failure, a
+ * timeout or a cancellation the connection is closed. Small answers are held in memory; larger ones
+ * are read piece by piece.
+ */
+#ifndef GS_EXCHANGE_H
+#define GS_EXCHANGE_H
+
+#include <glib.h>
+#include <sys/types.h>
+
+#include "../core/base.h"
+
+enum
+{
+  GS_EXCHANGE_BUFFER_BYTES = 256 * 1024, /**< an answer up to this size is held whole */
+};
+
+typedef struct GsClient GsClient;
+typedef struct GsExchange GsExchange;
+
+typedef struct
+{
+  uint32_t max_idle; /**< kept connections to one upstream */
+} GsClientOptions;
+
+GsClient *gs_client_new (const GsClientOptions *options);
+void gs_client_free (GsClient *client);
+
+/** Closes the kept connections to an upstream. Thread-safe. */
+void gs_client_drop (GsClient *client, uint32_t ipv4, uint16_t port);
+
+/** Request of an exchange. Pointers must live until gs_exchange_run returns. */
+typedef struct
+{
+  uint32_t ipv4; /**< host byte order */
+  uint16_t port;
+  const char *method;
+  const char *target; /**< path with query */
+  GPtrArray *headers; /**< "Name: value" */
+  const void *body;
+  size_t body_length;
+  int64_t timeout_us; /**< to the first byte of the answer, and between later ones */
+  int caller_fd;      /**< socket of the caller, watched for its end; -1: none */
+  uint64_t attempt;   /**< sent as Gentian-Attempt; an answer that names another is refused */
+} GsExchangeOptions;
+
+typedef enum
+{
+  GS_EXCHANGE_WHOLE = 0, /**< the whole answer is in memory */
+  GS_EXCHANGE_LARGE,     /**< the answer has begun and is read with gs_exchange_read */
+  GS_EXCHANGE_FAILED,    /**< see gs_exchange_outcome */
+} GsExchangeState;
+
+GsExchange *gs_exchange_new (GsClient *client, const GsExchangeOptions *options);
+
+/** Returns the connection to the client where it may be used again. */
+void gs_exchange_free (GsExchange *exchange);
+
+/** Sends the request and receives until the answer is whole, large, or has failed. */
+void gs_exchange_run (GsExchange *exchange);
+
+GsExchangeState gs_exchange_state (const GsExchange *exchange);
+
+/** RETURN VALUE: how the exchange ended; GS_OUTCOME_OK for any whole answer. */
+GsOutcome gs_exchange_outcome (const GsExchange *exchange);
+
+/** RETURN VALUE: HTTP status of the answer. */
+long gs_exchange_status (const GsExchange *exchange);
+
+/** RETURN VALUE: time to the first byte of the answer, in microseconds. */
+int64_t gs_exchange_answer_us (const GsExchange *exchange);
+
+/** RETURN VALUE: true when a kept connection was used. */
+bool gs_exchange_kept (const GsExchange *exchange);
+
+/** RETURN VALUE: value of header NAME of the answer, or NULL. */
+const char *gs_exchange_header (const GsExchange *exchange, const char *name);
+
+/** Calls VISIT for each end-to-end header of the answer. */
+void gs_exchange_headers (const GsExchange *exchange,
+                          void (*visit) (const char *name, const char *value, void *data),
+                          void *data);
+
+/** RETURN VALUE: bytes held in memory; LENGTH gets their number. */
+const void *gs_exchange_body (const GsExchange *exchange, size_t *length);
+
+/** RETURN VALUE: length that a large answer states, or -1. */
+int64_t gs_exchange_length (const GsExchange *exchange);
+
+/** Reads on in a large answer. RETURN VALUE: bytes read; 0 at its whole end; -1 when it is not
+ * whole. */
+ssize_t gs_exchange_read (GsExchange *exchange, char *out, size_t max);
+
+/** RETURN VALUE: true when NAME is a header between two neighbours only. */
+bool gs_header_is_hop (const char *name);
+
+/** RETURN VALUE: true when the caller behind FD has closed its connection. */
+bool gs_caller_left (int fd);
+
+#endif
--- /dev/null
+++ b/src/gentian/peer/wire.h
@@ -0,0 +1,52 @@
+/**
+ * NAME
+ *   wire - messages between daemons in msgpack
+ *
+ * DESCRIPTION
+ *   [version, kind, ...]. Encoding and decoding are strict and bounded. Fuzzed by
+ * test/fuzz/fuzz_wire.c.
+ */
+#ifndef GS_WIRE_H
+#define GS_WIRE_H
+
+#include <glib.h>
+
+#include "../core/core.h"
+
+enum
+{
+  GS_WIRE_VERSION = 1,
+  GS_WIRE_FACTS_MAX = 20000, /**< members in one message */
+};
+
+typedef enum
+{
+  GS_WIRE_PROBE = 1,
+  GS_WIRE_EVIDENCE = 2,
+  GS_WIRE_CRASH = 3,
+  GS_WIRE_SIGN = 4,
+  GS_WIRE_COPY_PULL = 5, /**< asks for the tables above a position */
+  GS_WIRE_COPY = 6,      /**< a copy, see platform/record.h */
+} GsWireKind;
+
+/** One message. */
+typedef struct
+{
+  GsWireKind kind;
+  GsProbe probe; /**< its facts are newly allocated by decoding */
+  GsEvidence evidence;
+  GsCrashNews crash;
+  GsUpstreamSign sign;
+  GsPeerAddress reply_to; /**< of a pull */
+  uint64_t from;          /**< of a pull: position already held */
+  GBytes *copy;
+} GsWireMessage;
+
+/** RETURN VALUE: newly allocated bytes of MESSAGE. */
+GBytes *gs_wire_encode (const GsWireMessage *message);
+
+/** Decodes LENGTH bytes. RETURN VALUE: false when they are no message of this version. */
+bool gs_wire_decode (GsWireMessage *message, const char *bytes, size_t length);
+void gs_wire_clear (GsWireMessage *message);
+
+#endif
--- /dev/null
+++ b/src/gentian/platform/log_client.c
@@ -0,0 +1,260 @@
+#include "log_client.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "../log/counter.h"
+#include "pack.h"
+
+enum
+{
+  LOG_CONNECT_TIMEOUT_MS = 500,
+  LOG_ANSWER_BYTES_MAX = 64 * 1024 * 1024,
+};
+
+struct GsLogClient
+{
+  CURL *curl;
+  char *base_url;
+  GByteArray *answer;
+  bool sending; /* the request's bytes may have left */
+};
+
+static size_t
+take_bytes (char *bytes, size_t size, size_t count, void *data)
+{
+  GsLogClient *client = data;
+
+  if (client->answer->len + size * count > LOG_ANSWER_BYTES_MAX)
+    return 0;
+  g_byte_array_append (client->answer, (const guint8 *)bytes, (guint)(size * count));
+  return size * count;
+}
+
+/* Called once a connection stands, before each sending; a second sending is not wanted. */
+static int
+before_sending (void *data, char *remote, char *local, int remote_port, int local_port)
+{
+  GsLogClient *client = data;
+  bool again = client->sending;
+
+  (void)remote;
+  (void)local;
+  (void)remote_port;
+  (void)local_port;
+  client->sending = true;
+  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+GsLogClient *
+gs_log_client_new (const char *base_url, uint32_t timeout_ms)
+{
+  GsLogClient *client = g_new0 (GsLogClient, 1);
+
+  client->base_url = g_strdup (base_url);
+  client->answer = g_byte_array_new ();
+  client->curl = curl_easy_init ();
+  curl_easy_setopt (client->curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (client->curl, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+  curl_easy_setopt (client->curl, CURLOPT_CONNECTTIMEOUT_MS, (long)LOG_CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (client->curl, CURLOPT_WRITEFUNCTION, take_bytes);
+  curl_easy_setopt (client->curl, CURLOPT_WRITEDATA, client);
+  curl_easy_setopt (client->curl, CURLOPT_PREREQFUNCTION, before_sending);
+  curl_easy_setopt (client->curl, CURLOPT_PREREQDATA, client);
+  curl_easy_setopt (client->curl, CURLOPT_NOPROXY, "*");
+  return client;
+}
+
+void
+gs_log_client_free (GsLogClient *client)
+{
+  if (client == NULL)
+    return;
+  curl_easy_cleanup (client->curl);
+  g_byte_array_unref (client->answer);
+  g_free (client->base_url);
+  g_free (client);
+}
+
+/* RETURN VALUE: HTTP status, or 0 when there is no whole answer. */
+static long
+call (GsLogClient *client, const char *path, GBytes *body)
+{
+  g_autofree char *url = g_strconcat (client->base_url, path, NULL);
+  struct curl_slist *headers = NULL;
+  long status = 0;
+  gsize length = 0;
+  gconstpointer bytes = body != NULL ? g_bytes_get_data (body, &length) : NULL;
+
+  g_byte_array_set_size (client->answer, 0);
+  client->sending = false;
+  curl_easy_setopt (client->curl, CURLOPT_URL, url);
+  if (body != NULL)
+    {
+      headers = curl_slist_append (headers, "Content-Type: application/octet-stream");
+      headers = curl_slist_append (headers, "Expect:");
+      curl_easy_setopt (client->curl, CURLOPT_POST, 1L);
+      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
+      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDS, bytes);
+    }
+  else
+    curl_easy_setopt (client->curl, CURLOPT_HTTPGET, 1L);
+  curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, headers);
+  if (curl_easy_perform (client->curl) == CURLE_OK)
+    curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, NULL);
+  curl_slist_free_all (headers);
+  if (status != 200)
+    gs_counter_add (GS_COUNTER_LOG_FAILURES, 1);
+  return status;
+}
+
+GsAppendResult
+gs_log_append (GsLogClient *client, const char *stream, GBytes *bytes, uint64_t *offset)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/streams/%s/records", stream);
+  long status = call (client, path, bytes);
+  json_t *answer;
+  GsAppendResult result = GS_APPEND_UNKNOWN;
+
+  gs_counter_add (GS_COUNTER_LOG_APPENDS, 1);
+  if (status == 0)
+    return client->sending ? GS_APPEND_UNKNOWN : GS_APPEND_NOT_SENT;
+  if (status != 200)
+    return status == 503 ? GS_APPEND_NOT_SENT : GS_APPEND_UNKNOWN;
+  answer = json_loadb ((const char *)client->answer->data, client->answer->len, 0, NULL);
+  if (json_is_integer (json_object_get (answer, "offset")))
+    {
+      if (offset != NULL)
+        *offset = (uint64_t)json_integer_value (json_object_get (answer, "offset"));
+      result = GS_APPEND_DONE;
+    }
+  json_decref (answer);
+  return result;
+}
+
+static void
+free_record (gpointer data)
+{
+  GsLogRecord *record = data;
+
+  g_bytes_unref (record->bytes);
+  g_free (record);
+}
+
+static bool
+parse_page (GsLogPage *page, const char *bytes, size_t length)
+{
+  msgpack_unpacked unpacked;
+  GsReader reader = { .failed = true };
+  GsReader list;
+
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, bytes, length, NULL) == MSGPACK_UNPACK_SUCCESS)
+    reader = gs_reader (&unpacked.data);
+  page->first = gs_read_uint (&reader, INT64_MAX);
+  page->next = gs_read_uint (&reader, INT64_MAX);
+  page->now_ms = (int64_t)gs_read_uint (&reader, INT64_MAX);
+  page->retention_ms = (int64_t)gs_read_uint (&reader, INT64_MAX);
+  list = gs_read_array (&reader);
+  page->records = g_ptr_array_new_with_free_func (free_record);
+  for (uint32_t i = 0; i < list.length && !list.failed; i++)
+    {
+      GsReader item = gs_read_array (&list);
+      GsLogRecord *record = g_new0 (GsLogRecord, 1);
+      size_t record_length;
+      const char *record_bytes;
+      record->offset = gs_read_uint (&item, INT64_MAX);
+      record->written_ms = (int64_t)gs_read_uint (&item, INT64_MAX);
+      record_bytes = gs_read_bytes (&item, &record_length);
+      record->bytes = g_bytes_new (record_bytes, record_length);
+      g_ptr_array_add (page->records, record);
+      list.failed = list.failed || item.failed;
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  return !reader.failed && !list.failed;
+}
+
+bool
+gs_log_read (GsLogClient *client,
+             const char *stream,
+             uint64_t from,
+             uint32_t limit,
+             GsLogPage *page)
+{
+  g_autofree char *path = g_strdup_printf (
+      "/v1/streams/%s/records?from=%" G_GUINT64_FORMAT "&limit=%u", stream, from, limit);
+
+  memset (page, 0, sizeof *page);
+  gs_counter_add (GS_COUNTER_LOG_READS, 1);
+  if (call (client, path, NULL) != 200)
+    return false;
+  gs_counter_add (GS_COUNTER_LOG_READ_BYTES, client->answer->len);
+  if (parse_page (page, (const char *)client->answer->data, client->answer->len))
+    return true;
+  gs_log_page_clear (page);
+  return false;
+}
+
+void
+gs_log_page_clear (GsLogPage *page)
+{
+  g_clear_pointer (&page->records, g_ptr_array_unref);
+}
+
+static void
+free_listed (gpointer data)
+{
+  GsListed *listed = data;
+
+  g_free (listed->id);
+  g_free (listed);
+}
+
+static GsListed *
+parse_listed (const json_t *item)
+{
+  const char *id = json_string_value (json_object_get (item, "id"));
+  const char *state = json_string_value (json_object_get (item, "state"));
+  const char *address = json_string_value (json_object_get (item, "address"));
+  json_int_t port = json_integer_value (json_object_get (item, "peer_port"));
+  GsListed *listed;
+  struct in_addr ipv4;
+
+  if (id == NULL || state == NULL || strlen (id) > 63)
+    return NULL;
+  listed = g_new0 (GsListed, 1);
+  listed->id = g_strdup (id);
+  listed->leaving = strcmp (state, "leaving") == 0;
+  if (address != NULL && port > 0 && port <= 65535 && inet_pton (AF_INET, address, &ipv4) == 1)
+    {
+      listed->ipv4 = ntohl (ipv4.s_addr);
+      listed->peer_port = (uint16_t)port;
+    }
+  return listed;
+}
+
+GPtrArray *
+gs_log_list (GsLogClient *client)
+{
+  GPtrArray *list;
+  json_t *answer;
+  size_t index;
+  json_t *item;
+
+  if (call (client, "/v1/instances", NULL) != 200)
+    return NULL;
+  answer = json_loadb ((const char *)client->answer->data, client->answer->len, 0, NULL);
+  list = g_ptr_array_new_with_free_func (free_listed);
+  json_array_foreach (answer, index, item)
+  {
+    GsListed *listed = parse_listed (item);
+    if (listed != NULL)
+      g_ptr_array_add (list, listed);
+  }
+  json_decref (answer);
+  return list;
+}
