--- /dev/null
+++ b/src/gentian/platform/pack.h
@@ -0,0 +1,49 @@
+/**
+ * NAME
+ *   pack - strict reading of msgpack values
+ *
+ * DESCRIPTION
+ *   A cursor over a msgpack array. Each read fails for good on a wrong type, a missing element or a
+ * value out of range, so a decoder checks `failed` once at its end.
+ */
+#ifndef GS_PACK_H
+#define GS_PACK_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct
+{
+  const msgpack_object *items;
+  uint32_t length;
+  uint32_t next;
+  bool failed;
+} GsReader;
+
+/** RETURN VALUE: a cursor over OBJECT, failed at once when it is no array. */
+GsReader gs_reader (const msgpack_object *object);
+
+/** RETURN VALUE: the next unsigned integer, at most MAX; else 0 and the reader has failed. */
+uint64_t gs_read_uint (GsReader *reader, uint64_t max);
+
+/** RETURN VALUE: the next number; else 0 and the reader has failed. */
+double gs_read_double (GsReader *reader);
+
+/** Copies the next string to OUT of SIZE bytes; fails when it does not fit or holds a NUL. */
+void gs_read_name (GsReader *reader, char *out, size_t size);
+
+/** RETURN VALUE: bytes of the next string or binary value; LENGTH gets their number. */
+const char *gs_read_bytes (GsReader *reader, size_t *length);
+
+/** RETURN VALUE: a cursor over the next value, an array. */
+GsReader gs_read_array (GsReader *reader);
+
+/** Packs a NUL-terminated string. */
+void gs_pack_text (msgpack_packer *packer, const char *text);
+
+/** Packs LENGTH bytes. */
+void gs_pack_bytes (msgpack_packer *packer, const char *bytes, size_t length);
+
+#endif
--- /dev/null
+++ b/src/gentian/platform/record.c
@@ -0,0 +1,285 @@
+#include "record.h"
+
+#include <string.h>
+
+#include "pack.h"
+
+static GBytes *
+finish (msgpack_sbuffer *buffer)
+{
+  GBytes *bytes = g_bytes_new (buffer->data, buffer->size);
+
+  msgpack_sbuffer_destroy (buffer);
+  return bytes;
+}
+
+static void
+begin (msgpack_sbuffer *buffer, msgpack_packer *packer, GsRecordKind kind, size_t n_fields)
+{
+  msgpack_sbuffer_init (buffer);
+  msgpack_packer_init (packer, buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (packer, 2 + n_fields);
+  msgpack_pack_uint32 (packer, GS_RECORD_VERSION);
+  msgpack_pack_uint32 (packer, (uint32_t)kind);
+}
+
+GBytes *
+gs_record_encode_edit (const char *submission,
+                       const char *workspace,
+                       uint64_t base,
+                       const char *text)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  begin (&buffer, &packer, GS_RECORD_EDIT, 4);
+  gs_pack_text (&packer, submission);
+  gs_pack_text (&packer, workspace);
+  msgpack_pack_uint64 (&packer, base);
+  gs_pack_bytes (&packer, text, strlen (text));
+  return finish (&buffer);
+}
+
+GBytes *
+gs_record_encode_snapshot (const GsSnapshotChunk *chunk)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  begin (&buffer, &packer, GS_RECORD_SNAPSHOT, 5);
+  msgpack_pack_uint64 (&packer, chunk->snapshot);
+  msgpack_pack_uint64 (&packer, chunk->position);
+  msgpack_pack_uint32 (&packer, chunk->index);
+  msgpack_pack_uint32 (&packer, chunk->count);
+  gs_pack_bytes (&packer, chunk->bytes, chunk->length);
+  return finish (&buffer);
+}
+
+GBytes *
+gs_record_encode_claims (const GsClaimRecord *claims, uint32_t n_claims)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  begin (&buffer, &packer, GS_RECORD_CLAIMS, 1);
+  msgpack_pack_array (&packer, n_claims);
+  for (uint32_t i = 0; i < n_claims; i++)
+    {
+      msgpack_pack_array (&packer, 5);
+      msgpack_pack_uint32 (&packer, (uint32_t)claims[i].kind);
+      msgpack_pack_uint64 (&packer, claims[i].key.high);
+      msgpack_pack_uint64 (&packer, claims[i].key.low);
+      msgpack_pack_uint64 (&packer, (uint64_t)claims[i].key.key_ms);
+      msgpack_pack_uint64 (&packer, claims[i].claim);
+    }
+  return finish (&buffer);
+}
+
+static void
+decode_edit (GsRecord *record, GsReader *reader)
+{
+  size_t length;
+  const char *text;
+
+  gs_read_name (reader, record->submission, sizeof record->submission);
+  gs_read_name (reader, record->workspace, sizeof record->workspace);
+  record->base = gs_read_uint (reader, UINT64_MAX);
+  text = gs_read_bytes (reader, &length);
+  if (reader->failed || record->workspace[0] == '\0' || memchr (text, '\0', length) != NULL)
+    {
+      reader->failed = true;
+      return;
+    }
+  record->text = g_strndup (text, length);
+}
+
+static void
+decode_chunk (GsRecord *record, GsReader *reader)
+{
+  GsSnapshotChunk *chunk = &record->chunk;
+
+  chunk->snapshot = gs_read_uint (reader, UINT64_MAX);
+  chunk->position = gs_read_uint (reader, UINT64_MAX);
+  chunk->index = (uint32_t)gs_read_uint (reader, UINT16_MAX);
+  chunk->count = (uint32_t)gs_read_uint (reader, UINT16_MAX);
+  chunk->bytes = gs_read_bytes (reader, &chunk->length);
+  if (chunk->index >= chunk->count)
+    reader->failed = true;
+}
+
+static void
+decode_claims (GsRecord *record, GsReader *reader)
+{
+  GsReader list = gs_read_array (reader);
+
+  if (list.failed || list.length > GS_RECORD_CLAIMS_MAX)
+    {
+      reader->failed = true;
+      return;
+    }
+  record->claims = g_new0 (GsClaimRecord, list.length);
+  for (uint32_t i = 0; i < list.length; i++)
+    {
+      GsReader item = gs_read_array (&list);
+      GsClaimRecord *claim = &record->claims[i];
+      claim->kind = (GsClaimKind)gs_read_uint (&item, GS_CLAIM_DONE);
+      claim->key.high = gs_read_uint (&item, UINT64_MAX);
+      claim->key.low = gs_read_uint (&item, UINT64_MAX);
+      claim->key.key_ms = (int64_t)gs_read_uint (&item, INT64_MAX / 4);
+      claim->claim = gs_read_uint (&item, UINT64_MAX);
+      reader->failed = reader->failed || item.failed;
+    }
+  record->n_claims = list.length;
+}
+
+bool
+gs_record_decode (GsRecord *record, const char *bytes, size_t length)
+{
+  msgpack_unpacked unpacked;
+  GsReader reader;
+  bool ok;
+
+  memset (record, 0, sizeof *record);
+  msgpack_unpacked_init (&unpacked);
+  ok = msgpack_unpack_next (&unpacked, bytes, length, NULL) == MSGPACK_UNPACK_SUCCESS;
+  reader = ok ? gs_reader (&unpacked.data) : (GsReader){ .failed = true };
+  if (gs_read_uint (&reader, UINT32_MAX) != GS_RECORD_VERSION)
+    reader.failed = true;
+  record->kind = (GsRecordKind)gs_read_uint (&reader, GS_RECORD_CLAIMS);
+  switch (reader.failed ? 0 : record->kind)
+    {
+    case GS_RECORD_EDIT:
+      decode_edit (record, &reader);
+      break;
+    case GS_RECORD_SNAPSHOT:
+      decode_chunk (record, &reader);
+      break;
+    case GS_RECORD_CLAIMS:
+      decode_claims (record, &reader);
+      break;
+    default:
+      reader.failed = true;
+    }
+  if (!reader.failed && record->kind == GS_RECORD_SNAPSHOT)
+    record->chunk.bytes = g_memdup2 (record->chunk.bytes, record->chunk.length);
+  else
+    record->chunk.bytes = NULL;
+  msgpack_unpacked_destroy (&unpacked);
+  if (reader.failed)
+    gs_record_clear (record);
+  return !reader.failed;
+}
+
+void
+gs_record_clear (GsRecord *record)
+{
+  g_clear_pointer (&record->text, g_free);
+  g_clear_pointer (&record->claims, g_free);
+  g_free ((char *)record->chunk.bytes);
+  record->chunk.bytes = NULL;
+}
+
+typedef struct
+{
+  msgpack_packer *packer;
+  uint32_t count;
+} CopyPacking;
+
+static void
+count_entry (const GsCopyEntry *entry, void *data)
+{
+  (void)entry;
+  ((CopyPacking *)data)->count++;
+}
+
+static void
+pack_entry (const GsCopyEntry *entry, void *data)
+{
+  msgpack_packer *packer = ((CopyPacking *)data)->packer;
+
+  msgpack_pack_array (packer, 3 + GS_FOLD_SUBMISSIONS);
+  gs_pack_text (packer, entry->workspace);
+  gs_pack_text (packer, entry->text);
+  msgpack_pack_uint64 (packer, entry->revision);
+  for (int i = 0; i < GS_FOLD_SUBMISSIONS; i++)
+    msgpack_pack_uint64 (packer, entry->submissions[i]);
+}
+
+GBytes *
+gs_copy_encode (const GsFold *fold, uint64_t from)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  CopyPacking packing = { .packer = &packer };
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  gs_fold_copy (fold, from, count_entry, &packing);
+  msgpack_pack_array (&packer, 4);
+  msgpack_pack_uint32 (&packer, GS_RECORD_VERSION);
+  msgpack_pack_uint64 (&packer, from);
+  msgpack_pack_uint64 (&packer, gs_fold_position (fold));
+  msgpack_pack_array (&packer, packing.count);
+  gs_fold_copy (fold, from, pack_entry, &packing);
+  return finish (&buffer);
+}
+
+static void
+decode_entry (GsReader *list, GsCopyEntry *entry)
+{
+  GsReader item = gs_read_array (list);
+  char workspace[GS_NAME_MAX + 1];
+  size_t length;
+  const char *text;
+
+  gs_read_name (&item, workspace, sizeof workspace);
+  text = gs_read_bytes (&item, &length);
+  entry->revision = gs_read_uint (&item, UINT64_MAX);
+  for (int i = 0; i < GS_FOLD_SUBMISSIONS; i++)
+    entry->submissions[i] = gs_read_uint (&item, UINT64_MAX);
+  entry->workspace = g_strdup (workspace);
+  entry->text = g_strndup (text != NULL ? text : "", length);
+  list->failed = list->failed || item.failed;
+}
+
+bool
+gs_copy_decode (GsCopy *copy, const char *bytes, size_t length)
+{
+  msgpack_unpacked unpacked;
+  GsReader reader = { .failed = true };
+  GsReader list;
+
+  memset (copy, 0, sizeof *copy);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, bytes, length, NULL) == MSGPACK_UNPACK_SUCCESS)
+    reader = gs_reader (&unpacked.data);
+  if (gs_read_uint (&reader, UINT32_MAX) != GS_RECORD_VERSION)
+    reader.failed = true;
+  copy->from = gs_read_uint (&reader, UINT64_MAX);
+  copy->position = gs_read_uint (&reader, UINT64_MAX);
+  list = gs_read_array (&reader);
+  if (!reader.failed && !list.failed)
+    {
+      copy->entries = g_new0 (GsCopyEntry, list.length);
+      copy->n_entries = list.length;
+      for (uint32_t i = 0; i < list.length; i++)
+        decode_entry (&list, &copy->entries[i]);
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  if (!reader.failed && !list.failed)
+    return true;
+  gs_copy_clear (copy);
+  return false;
+}
+
+void
+gs_copy_clear (GsCopy *copy)
+{
+  for (uint32_t i = 0; i < copy->n_entries; i++)
+    {
+      g_free ((char *)copy->entries[i].workspace);
+      g_free ((char *)copy->entries[i].text);
+    }
+  g_clear_pointer (&copy->entries, g_free);
+  copy->n_entries = 0;
+}
--- /dev/null
+++ b/src/gentianctl/main.c
@@ -0,0 +1,472 @@
+/* gentianctl: the operators' command. Talks to the administration API of any daemon. */
+#include <argp.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <ulfius.h>
+#include <zmq.h>
+
+#include "../gentian/config/settings.h"
+#include "../gentian/config/tables.h"
+#include "../gentian/http/admin.h"
+
+enum
+{
+  EXIT_USAGE = 1,
+  EXIT_REFUSED = 2,   /* the tables or settings do not pass the check */
+  EXIT_CONFLICT = 3,  /* somebody else edited first, or a route clashes */
+  EXIT_NO_ANSWER = 4, /* the daemon or the log does not answer */
+  EXIT_DENIED = 5,    /* the credential does not allow it */
+  CTL_TIMEOUT_S = 30,
+};
+
+typedef struct
+{
+  const char *url;
+  const char *workspace;
+  const char *credential_file;
+  const char *submission;
+  const char *base;
+  int json;
+  char *words[4];
+  int n_words;
+} Arguments;
+
+typedef struct
+{
+  const char *name;
+  int n_arguments;
+  const char *usage;
+  int (*run) (const Arguments *arguments);
+} Command;
+
+static char *
+read_file (const char *path)
+{
+  char *text = NULL;
+  g_autoptr (GError) error = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    fprintf (stderr, "gentianctl: %s\n", error->message);
+  return text;
+}
+
+static int
+status_to_exit (long status)
+{
+  if (status == 200)
+    return EXIT_SUCCESS;
+  if (status == 401 || status == 403)
+    return EXIT_DENIED;
+  if (status == 409)
+    return EXIT_CONFLICT;
+  return status == 422 || status == 404 ? EXIT_REFUSED : EXIT_NO_ANSWER;
+}
+
+/* Calls the API. RETURN VALUE: the answer's body or NULL; EXIT_CODE gets the code to end with. */
+static json_t *
+call (const Arguments *arguments,
+      const char *method,
+      const char *path,
+      const char *body,
+      int *exit_code)
+{
+  struct _u_request request;
+  struct _u_response response;
+  g_autofree char *url = g_strconcat (arguments->url, path, NULL);
+  g_autofree char *credential
+      = arguments->credential_file != NULL ? read_file (arguments->credential_file) : NULL;
+  g_autofree char *header = NULL;
+  json_t *answer = NULL;
+
+  *exit_code = EXIT_NO_ANSWER;
+  ulfius_init_request (&request);
+  ulfius_init_response (&response);
+  request.timeout = CTL_TIMEOUT_S;
+  ulfius_set_request_properties (&request, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url,
+                                 U_OPT_NONE);
+  if (credential != NULL)
+    {
+      header = g_strconcat ("Bearer ", g_strstrip (credential), NULL);
+      u_map_put (request.map_header, "Authorization", header);
+    }
+  if (body != NULL)
+    ulfius_set_binary_body_request (&request, body, strlen (body));
+  if (ulfius_send_http_request (&request, &response) == U_OK)
+    {
+      answer = json_loadb (response.binary_body, response.binary_body_length, 0, NULL);
+      *exit_code = status_to_exit (response.status);
+    }
+  else
+    fprintf (stderr, "gentianctl: no answer from %s\n", arguments->url);
+  ulfius_clean_request (&request);
+  ulfius_clean_response (&response);
+  return answer;
+}
+
+static void
+print_json (json_t *body)
+{
+  g_autofree char *text = json_dumps (body, JSON_INDENT (2));
+
+  printf ("%s\n", text);
+}
+
+static void
+print_problem (const json_t *body)
+{
+  const char *message = json_string_value (json_object_get (body, "message"));
+  const char *rows = json_string_value (json_object_get (body, "rows"));
+
+  if (message != NULL)
+    fprintf (stderr, "gentianctl: %s (GSA%d)\n", message,
+             (int)json_integer_value (json_object_get (body, "code")));
+  if (rows != NULL)
+    fprintf (stderr, "rows that differ (- in force, + yours):\n%s", rows);
+}
+
+static char *
+escape (const char *text)
+{
+  return g_uri_escape_string (text, NULL, FALSE);
+}
+
+static int
+get_and_print (const Arguments *arguments, const char *path)
+{
+  int exit_code;
+  json_t *answer = call (arguments, "GET", path, NULL, &exit_code);
+
+  if (exit_code != EXIT_SUCCESS)
+    print_problem (answer);
+  else
+    print_json (answer);
+  json_decref (answer);
+  return exit_code;
+}
+
+static json_t *
+get_tables (const Arguments *arguments, int *exit_code)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/admin/tables?workspace=%s", arguments->workspace);
+  json_t *answer = call (arguments, "GET", path, NULL, exit_code);
+
+  if (*exit_code != EXIT_SUCCESS)
+    print_problem (answer);
+  return answer;
+}
+
+static GsDocument *
+parse_file (const Arguments *arguments, const char *file, char **text)
+{
+  g_autoptr (GError) error = NULL;
+  GsDocument *document = NULL;
+
+  *text = read_file (file);
+  if (*text != NULL)
+    document = gs_tables_parse (arguments->workspace, file, *text, strlen (*text), &error);
+  if (error != NULL)
+    fprintf (stderr, "gentianctl: %s\n", error->message);
+  return document;
+}
+
+static int
+run_validate (const Arguments *arguments)
+{
+  g_autofree char *text = NULL;
+  GsDocument *document = parse_file (arguments, arguments->words[1], &text);
+
+  if (document == NULL)
+    return EXIT_REFUSED;
+  printf ("%s: %u routes, %u pools\n", arguments->words[1], document->n_routes, document->n_pools);
+  gs_document_free (document);
+  return EXIT_SUCCESS;
+}
+
+static int
+run_show (const Arguments *arguments)
+{
+  int exit_code;
+  json_t *answer = get_tables (arguments, &exit_code);
+
+  if (exit_code == EXIT_SUCCESS && arguments->json)
+    print_json (answer);
+  else if (exit_code == EXIT_SUCCESS)
+    printf ("# workspace %s, revision %" JSON_INTEGER_FORMAT "\n%s", arguments->workspace,
+            json_integer_value (json_object_get (answer, "revision")),
+            json_string_value (json_object_get (answer, "tables")));
+  json_decref (answer);
+  return exit_code;
+}
+
+static int
+run_diff (const Arguments *arguments)
+{
+  g_autofree char *text = NULL;
+  g_autofree char *rows = NULL;
+  int exit_code;
+  GsDocument *mine = parse_file (arguments, arguments->words[1], &text);
+  GsDocument *in_force;
+  json_t *answer;
+  const char *tables;
+
+  if (mine == NULL)
+    return EXIT_REFUSED;
+  answer = get_tables (arguments, &exit_code);
+  if (exit_code == EXIT_SUCCESS)
+    {
+      tables = json_string_value (json_object_get (answer, "tables"));
+      in_force = gs_tables_parse (arguments->workspace, "in force", tables, strlen (tables), NULL);
+      rows = gs_tables_diff (in_force, mine);
+      printf ("%s", rows);
+      gs_document_free (in_force);
+    }
+  gs_document_free (mine);
+  json_decref (answer);
+  return exit_code;
+}
+
+static int
+submit_text (const Arguments *arguments, const char *text, json_int_t base)
+{
+  g_autofree char *made = g_uuid_string_random ();
+  const char *submission = arguments->submission != NULL ? arguments->submission : made;
+  g_autofree char *path = g_strdup_printf (
+      "/v1/admin/tables?workspace=%s&base=%" JSON_INTEGER_FORMAT "&submission=%s",
+      arguments->workspace, base, submission);
+  int exit_code;
+  json_t *answer = call (arguments, "POST", path, text, &exit_code);
+
+  if (exit_code != EXIT_SUCCESS)
+    {
+      print_problem (answer);
+      fprintf (stderr, "gentianctl: submission %s was not accepted\n", submission);
+    }
+  else if (arguments->json)
+    print_json (answer);
+  else
+    printf ("accepted: workspace %s, revision %" JSON_INTEGER_FORMAT "\n", arguments->workspace,
+            json_integer_value (json_object_get (answer, "revision")));
+  json_decref (answer);
+  return exit_code;
+}
+
+static int
+run_submit (const Arguments *arguments)
+{
+  g_autofree char *text = NULL;
+  int exit_code = EXIT_SUCCESS;
+  GsDocument *document = parse_file (arguments, arguments->words[1], &text);
+  json_int_t base = 0;
+
+  if (document == NULL)
+    return EXIT_REFUSED;
+  gs_document_free (document);
+  if (arguments->base != NULL)
+    base = g_ascii_strtoll (arguments->base, NULL, 10);
+  else
+    {
+      json_t *answer = get_tables (arguments, &exit_code);
+      base = json_integer_value (json_object_get (answer, "revision"));
+      json_decref (answer);
+    }
+  return exit_code == EXIT_SUCCESS ? submit_text (arguments, text, base) : exit_code;
+}
+
+/* Prints each new revision until the call ends by a signal or an error. */
+static int
+run_watch (const Arguments *arguments)
+{
+  json_int_t seen = 0;
+  int exit_code = EXIT_SUCCESS;
+
+  while (exit_code == EXIT_SUCCESS)
+    {
+      g_autofree char *path = g_strdup_printf (
+          "/v1/admin/tables?workspace=%s&after=%" JSON_INTEGER_FORMAT, arguments->workspace, seen);
+      json_t *answer = call (arguments, "GET", path, NULL, &exit_code);
+      json_int_t revision = json_integer_value (json_object_get (answer, "revision"));
+      if (exit_code != EXIT_SUCCESS)
+        print_problem (answer);
+      else if (revision > seen)
+        {
+          printf ("workspace %s, revision %" JSON_INTEGER_FORMAT "\n", arguments->workspace,
+                  revision);
+          fflush (stdout);
+          seen = revision;
+        }
+      json_decref (answer);
+    }
+  return exit_code;
+}
+
+static int
+run_explain (const Arguments *arguments)
+{
+  g_autofree char *host = escape (arguments->words[1]);
+  g_autofree char *target = escape (arguments->words[2]);
+  g_autofree char *path = g_strdup_printf ("/v1/admin/explain?workspace=%s&host=%s&path=%s",
+                                           arguments->workspace, host, target);
+
+  return get_and_print (arguments, path);
+}
+
+static int
+run_pools (const Arguments *arguments)
+{
+  g_autofree char *path = g_strdup_printf ("/v1/admin/pools?workspace=%s", arguments->workspace);
+
+  return get_and_print (arguments, path);
+}
+
+static int
+run_members (const Arguments *arguments)
+{
+  return get_and_print (arguments, "/v1/admin/members");
+}
+
+static int
+run_credential (const Arguments *arguments)
+{
+  g_autoptr (GError) error = NULL;
+  g_autofree char *credential = NULL;
+  GsSettings *settings = gs_settings_load (arguments->words[1], &error);
+
+  if (settings == NULL)
+    {
+      fprintf (stderr, "gentianctl: %s\n", error->message);
+      return EXIT_REFUSED;
+    }
+  credential = gs_admin_credential (settings->admin_key, arguments->workspace);
+  printf ("%s\n", credential);
+  gs_settings_free (settings);
+  return EXIT_SUCCESS;
+}
+
+static int
+run_keys (const Arguments *arguments)
+{
+  char public_key[41];
+  char secret_key[41];
+  uint8_t bytes[GS_SETTINGS_KEY_BYTES];
+  char hex[2 * GS_SETTINGS_KEY_BYTES + 1];
+  static const char *const names[] = { "fleet_key", "admin_key" };
+
+  (void)arguments;
+  if (zmq_curve_keypair (public_key, secret_key) != 0)
+    return EXIT_REFUSED;
+  printf ("peer_public_key: '%s'\npeer_secret_key: '%s'\n", public_key, secret_key);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      randombytes_buf (bytes, sizeof bytes);
+      sodium_bin2hex (hex, sizeof hex, bytes, sizeof bytes);
+      printf ("%s: '%s'\n", names[i], hex);
+    }
+  return EXIT_SUCCESS;
+}
+
+static int
+run_reference (const Arguments *arguments)
+{
+  g_autofree char *text = strcmp (arguments->words[1], "settings") == 0 ? gs_settings_reference ()
+                                                                        : gs_tables_reference ();
+
+  printf ("%s", text);
+  return EXIT_SUCCESS;
+}
+
+static const Command commands[] = {
+  { "submit", 1, "submit FILE", run_submit },
+  { "validate", 1, "validate FILE", run_validate },
+  { "show", 0, "show", run_show },
+  { "diff", 1, "diff FILE", run_diff },
+  { "watch", 0, "watch", run_watch },
+  { "explain", 2, "explain HOST PATH", run_explain },
+  { "pools", 0, "pools", run_pools },
+  { "members", 0, "members", run_members },
+  { "credential", 1, "credential SETTINGS", run_credential },
+  { "keys", 0, "keys", run_keys },
+  { "reference", 1, "reference settings|tables", run_reference },
+};
+
+static error_t
+parse_option (int key, char *argument, struct argp_state *state)
+{
+  Arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 'u':
+      arguments->url = argument;
+      return 0;
+    case 'w':
+      arguments->workspace = argument;
+      return 0;
+    case 'c':
+      arguments->credential_file = argument;
+      return 0;
+    case 's':
+      arguments->submission = argument;
+      return 0;
+    case 'b':
+      arguments->base = argument;
+      return 0;
+    case 'j':
+      arguments->json = 1;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (arguments->n_words >= 4)
+        argp_usage (state);
+      arguments->words[arguments->n_words++] = argument;
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->n_words == 0)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option options[]
+    = { { "url", 'u', "URL", 0, "administration API of a daemon", 0 },
+        { "workspace", 'w', "NAME", 0, "workspace to work on", 0 },
+        { "credential-file", 'c', "FILE", 0, "file that holds the credential", 0 },
+        { "submission", 's', "ID", 0, "identifier of a submission, to repeat one", 0 },
+        { "base", 'b', "REVISION", 0, "revision that the edit is based on", 0 },
+        { "json", 'j', NULL, 0, "answers in JSON", 0 },
+        { 0 } };
+
+static const struct argp arguments_parser
+    = { options,
+        parse_option,
+        "submit FILE\nvalidate FILE\nshow\ndiff FILE\nwatch\nexplain HOST PATH\npools\nmembers\n"
+        "credential SETTINGS\nkeys\nreference settings|tables",
+        "gentianctl - edits the tables of a workspace and shows what the fleet does\v"
+        "Exit codes: 0 done, 1 wrong call, 2 refused by the check, 3 conflict or clash, 4 no "
+        "answer, 5 credential refused. Errors of the API carry a number GSA, those of tables GSC; "
+        "both are listed in docs/operators/ADMIN.md.",
+        NULL,
+        NULL,
+        NULL };
+
+int
+main (int argc, char **argv)
+{
+  Arguments arguments = { .url = "http://127.0.0.1:8081", .workspace = "default" };
+
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&arguments_parser, argc, argv, 0, NULL, &arguments);
+  if (sodium_init () < 0)
+    return EXIT_NO_ANSWER;
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (strcmp (commands[i].name, arguments.words[0]) == 0)
+      {
+        if (arguments.n_words - 1 == commands[i].n_arguments)
+          return commands[i].run (&arguments);
+        fprintf (stderr, "gentianctl: usage: %s\n", commands[i].usage);
+        return EXIT_USAGE;
+      }
+  fprintf (stderr, "gentianctl: unknown command %s\n", arguments.words[0]);
+  return EXIT_USAGE;
+}
--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,89 @@
+# Shell functions that start stand-ins and daemons on loopback for the demo and the functional tests.
+# Source it with DIR (work folder) and BIN (build folder) set. Every process started is noted and ended by
+# its process id; nothing else is touched.
+: "${BIN:=build/release}" "${DIR:=$(mktemp -d)}" "${PORTS:=20000}"
+PIDS=()
+NAMES=()
+
+note_pid () { PIDS+=("$2"); NAMES+=("$1"); eval "PID_${1//[^a-zA-Z0-9]/_}=$2"; }
+pid_of () { eval "echo \$PID_${1//[^a-zA-Z0-9]/_}"; }
+
+end_all () {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
+}
+
+start_platform () {
+  PLATFORM="127.0.0.1:$PORTS"
+  "$BIN/standin/platform" "$PORTS" 2>>"$DIR/platform.log" & note_pid platform $!
+}
+
+platform_control () { curl -s --noproxy '*' -X POST "http://$PLATFORM/control?$1" >/dev/null; }
+
+# start_backend NUMBER ID [SERVICE_US]
+start_backend () {
+  "$BIN/standin/backend" $((PORTS + 100 + $1)) "$2" "${3:-5000}" "${4:-4}" 2>>"$DIR/backend.log" & note_pid "$2" $!
+}
+
+backend_control () { curl -s --noproxy '*' "http://127.0.0.1:$((PORTS + 1100 + $1))/control?$2" >/dev/null; }
+backend_stats () { curl -s --noproxy '*' "http://127.0.0.1:$((PORTS + 1100 + $1))/control"; }
+
+make_keys () { [ -s "$DIR/keys.yaml" ] || "$BIN/gentianctl" keys >"$DIR/keys.yaml"; }
+
+# write_settings NUMBER DOMAIN
+write_settings () {
+  make_keys
+  local n=$1 file="$DIR/inst-$1.yaml"
+  {
+    echo "instance: inst-$n"
+    echo "failure_domain: $2"
+    echo "address: 127.0.0.1"
+    echo "entry_port: $((PORTS + 200 + n))"
+    echo "admin_port: $((PORTS + 300 + n))"
+    echo "peer_port: $((PORTS + 400 + n))"
+    echo "platform_url: http://$PLATFORM"
+    echo "log_level: ${LOG_LEVEL:-info}"
+    echo "seeds: ['127.0.0.1:$((PORTS + 401))', '127.0.0.1:$((PORTS + 402))']"
+    [ -z "${EXTRA_SETTINGS:-}" ] || echo "$EXTRA_SETTINGS"
+    cat "$DIR/keys.yaml"
+  } >"$file"
+}
+
+# start_daemon NUMBER DOMAIN
+start_daemon () {
+  write_settings "$1" "$2"
+  "$BIN/gentianscaled" --settings "$DIR/inst-$1.yaml" 2>>"$DIR/inst-$1.log" & note_pid "inst-$1" $!
+}
+
+entry_of () { echo "127.0.0.1:$((PORTS + 200 + $1))"; }
+admin_of () { echo "http://127.0.0.1:$((PORTS + 300 + $1))"; }
+health_of () { curl -s --noproxy '*' -m 2 "$(admin_of "$1")/healthz"; }
+metric_of () { curl -s --noproxy '*' -m 2 "$(admin_of "$1")/metrics" | awk -v m="$2" '$1==m{print $2}'; }
+
+# wait_for SECONDS COMMAND...: polls until the command succeeds
+wait_for () {
+  local end=$((SECONDS + $1)); shift
+  until "$@" >/dev/null 2>&1; do [ "$SECONDS" -lt "$end" ] || return 1; sleep 0.05; done
+}
+
+is_ready () { health_of "$1" | grep -q '"ready": *true'; }
+sees_members () { [ "$(health_of "$1" | sed 's/.*"members": *\([0-9]*\).*/\1/')" -ge "$2" ]; }
+has_revision () { "$BIN/gentianctl" -u "$(admin_of "$1")" -w "$2" -c "$DIR/credential-$2" -j show | grep -q "\"revision\": *$3\b"; }
+revision_of () { "$BIN/gentianctl" -u "$(admin_of "$1")" -w "$2" -c "$DIR/credential-$2" -j show | sed -n 's/.*"revision": *\([0-9]*\).*/\1/p'; }
+
+# ctl NUMBER WORKSPACE WORDS...
+ctl () {
+  local n=$1 w=$2; shift 2
+  [ -s "$DIR/credential-$w" ] || "$BIN/gentianctl" -w "$w" credential "$DIR/inst-1.yaml" >"$DIR/credential-$w"
+  "$BIN/gentianctl" -u "$(admin_of "$n")" -w "$w" -c "$DIR/credential-$w" "$@"
+}
+
+# write_pool NAME COST FLOOR HOMES FIRST COUNT: rows of a pool with backends FIRST.. in three domains
+write_pool () {
+  echo "  - name: $1"; echo "    cost: $2"; echo "    floor_percent: $3"; echo "    homes: $4"; echo "    upstreams:"
+  local i
+  for ((i = $5; i < $5 + $6; i++)); do
+    echo "      - {id: $1-$i, address: 127.0.0.1, port: $((PORTS + 100 + i)), failure_domain: d$((i % 3)), state: ${LEAVING[$i]:-serving}}"
+  done
+}
