--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
 
-$(B)/bench/%: $(B)/bench/%.o $(LIBRARY)
+$(B)/bench/%: $(B)/bench/%.o $(B)/bench/fake_pool.o $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -73,6 +73,9 @@
 	@$(MAKE) --no-print-directory -j8 all >/dev/null
 	@tools/demo
 
+bench-detection bench-routing: bench-%: $(B)/bench/bench_%
+	$<
+
 check: setup
 	@tools/check
 
--- /dev/null
+++ b/bench/fake_pool.c
@@ -0,0 +1,711 @@
+#include "fake_pool.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  FAKE_DAEMONS_MAX = 64,
+  FAKE_UPSTREAMS_MAX = 64,
+  FAKE_SLOTS_MAX = 16,
+};
+
+#define FAKE_TICK_US (10 * GS_US_PER_MS)
+#define FAKE_STUCK_US (3600 * GS_US_PER_S)
+
+typedef enum
+{
+  HAPPEN_ARRIVAL,
+  HAPPEN_SERVED,
+  HAPPEN_TIMEOUT,
+  HAPPEN_TICK,
+  HAPPEN_MESSAGE
+} HappenKind;
+
+typedef struct
+{
+  int64_t at_us;
+  uint64_t order;
+  HappenKind kind;
+  uint32_t daemon;
+  uint64_t attempt;
+  GsEffect *message;
+} Happen;
+
+typedef struct
+{
+  uint32_t daemon;
+  uint64_t attempt;
+  uint64_t request;
+  uint16_t upstream;
+  int64_t sent_us;
+  int64_t started_us;
+  bool ended;   /* at the daemon */
+  bool running; /* in a slot */
+} Work;
+
+typedef struct
+{
+  uint32_t busy;
+  GQueue queue; /* of Work */
+  uint64_t answers_since_fault;
+} Upstream;
+
+typedef struct
+{
+  FakeOptions options;
+  FakeResult *result;
+  GsCore *cores[FAKE_DAEMONS_MAX];
+  GsEffects *effects;
+  Upstream upstreams[FAKE_UPSTREAMS_MAX];
+  GArray *heap;
+  GHashTable *works;    /* daemon and attempt -> Work */
+  GHashTable *arrivals; /* daemon and request -> arrival time */
+  uint64_t next_order;
+  uint64_t next_request;
+  int64_t now_us;
+  GsRandom random;
+  bool was_out[FAKE_DAEMONS_MAX][FAKE_UPSTREAMS_MAX];
+  int64_t watched_us;
+  GArray *waits;  /* of double */
+  GArray *totals; /* of double */
+} Fake;
+
+const char *
+fake_fault_name (FakeFault fault)
+{
+  static const char *const names[]
+      = { "none",     "fail-5",     "fail-20",     "fail-100", "slow-3",     "slow-10",
+          "flap",     "stuck-slot", "one-route",   "path-broken", "silent",  "shedding",
+          "cold-start", "pool-slow", "pool-fails", "domain-slow" };
+  return names[fault];
+}
+
+static bool
+before (const Happen *left, const Happen *right)
+{
+  return left->at_us != right->at_us ? left->at_us < right->at_us : left->order < right->order;
+}
+
+static void
+push (Fake *fake, Happen happen)
+{
+  GArray *heap = fake->heap;
+  guint i = heap->len;
+
+  happen.order = ++fake->next_order;
+  g_array_append_val (heap, happen);
+  while (i > 0 && before (&happen, &g_array_index (heap, Happen, (i - 1) / 2)))
+    {
+      g_array_index (heap, Happen, i) = g_array_index (heap, Happen, (i - 1) / 2);
+      i = (i - 1) / 2;
+    }
+  g_array_index (heap, Happen, i) = happen;
+}
+
+static Happen
+pop (Fake *fake)
+{
+  GArray *heap = fake->heap;
+  Happen first = g_array_index (heap, Happen, 0);
+  Happen last = g_array_index (heap, Happen, heap->len - 1);
+  guint i = 0;
+
+  g_array_set_size (heap, heap->len - 1);
+  for (;;)
+    {
+      guint child = 2 * i + 1;
+      if (child >= heap->len)
+        break;
+      if (child + 1 < heap->len
+          && before (&g_array_index (heap, Happen, child + 1), &g_array_index (heap, Happen, child)))
+        child++;
+      if (!before (&g_array_index (heap, Happen, child), &last))
+        break;
+      g_array_index (heap, Happen, i) = g_array_index (heap, Happen, child);
+      i = child;
+    }
+  if (heap->len > 0)
+    g_array_index (heap, Happen, i) = last;
+  return first;
+}
+
+static double
+exponential (Fake *fake, double mean)
+{
+  return -log (1 - gs_random_unit (&fake->random)) * mean;
+}
+
+static bool
+is_faulty (const Fake *fake, uint16_t upstream)
+{
+  switch (fake->options.fault)
+    {
+    case FAKE_NONE:
+    case FAKE_PATH_BROKEN:
+    case FAKE_SILENT:
+    case FAKE_SHEDDING:
+    case FAKE_COLD_START:
+    case FAKE_POOL_SLOW:
+      return false;
+    case FAKE_POOL_FAILS:
+      return false;
+    case FAKE_DOMAIN_SLOW:
+      return upstream % 3 == 0;
+    default:
+      return upstream == 0;
+    }
+}
+
+/* The upstream that the fault is about, healthy or not. */
+static bool
+is_hit (const Fake *fake, uint16_t upstream)
+{
+  if (fake->now_us < fake->options.fault_at_us || fake->options.fault == FAKE_NONE)
+    return false;
+  if (fake->options.fault == FAKE_POOL_SLOW || fake->options.fault == FAKE_POOL_FAILS)
+    return true;
+  return fake->options.fault == FAKE_DOMAIN_SLOW ? upstream % 3 == 0 : upstream == 0;
+}
+
+static double
+slow_factor (const Fake *fake, uint16_t upstream)
+{
+  int64_t age_us = fake->now_us - fake->options.fault_at_us;
+
+  if (!is_hit (fake, upstream))
+    return 1;
+  switch (fake->options.fault)
+    {
+    case FAKE_SLOW_3:
+    case FAKE_POOL_SLOW:
+    case FAKE_DOMAIN_SLOW:
+      return 3;
+    case FAKE_SLOW_10:
+      return 10;
+    case FAKE_COLD_START:
+      return age_us < 4 * GS_US_PER_S ? 3 : 1;
+    default:
+      return 1;
+    }
+}
+
+static double
+failure_rate (const Fake *fake, const Work *work)
+{
+  int64_t age_us = fake->now_us - fake->options.fault_at_us;
+
+  if (!is_hit (fake, work->upstream))
+    return fake->options.background;
+  switch (fake->options.fault)
+    {
+    case FAKE_FAIL_5:
+      return 0.05;
+    case FAKE_FAIL_20:
+    case FAKE_POOL_FAILS:
+      return 0.2;
+    case FAKE_FAIL_100:
+      return 1;
+    case FAKE_FLAP:
+      return age_us % (6 * GS_US_PER_S) < 3 * GS_US_PER_S ? 1 : fake->options.background;
+    case FAKE_ONE_ROUTE:
+      return work->request % 4 == 0 ? 1 : 0;
+    case FAKE_PATH_BROKEN:
+      return work->daemon == 0 ? 1 : fake->options.background;
+    default:
+      return fake->options.background;
+    }
+}
+
+static uint64_t
+work_key (uint32_t daemon, uint64_t id)
+{
+  return (uint64_t)daemon << 48 | id;
+}
+
+static void reduce (Fake *fake, uint32_t daemon, const GsEvent *event);
+
+static void
+end_attempt (Fake *fake, Work *work, GsOutcome outcome)
+{
+  GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
+                    .now_us = fake->now_us,
+                    .attempt_end = { .attempt = work->attempt,
+                                     .outcome = outcome,
+                                     .answer_us = fake->now_us - work->sent_us } };
+
+  if (work->ended)
+    return;
+  work->ended = true;
+  if (is_hit (fake, work->upstream) && fake->result->detection_us < 0)
+    fake->upstreams[work->upstream].answers_since_fault++;
+  reduce (fake, work->daemon, &event);
+}
+
+static void
+start_work (Fake *fake, Work *work)
+{
+  double service_us
+      = exponential (fake, fake->options.service_us) * slow_factor (fake, work->upstream);
+  Upstream *upstream = &fake->upstreams[work->upstream];
+  double wait_us = (double)(fake->now_us - work->sent_us);
+
+  if (fake->options.fault == FAKE_STUCK_SLOT && is_hit (fake, work->upstream)
+      && upstream->answers_since_fault == 0)
+    service_us = (double)FAKE_STUCK_US;
+  upstream->busy++;
+  work->running = true;
+  work->started_us = fake->now_us;
+  g_array_append_val (fake->waits, wait_us);
+  push (fake,
+        (Happen){ .at_us = fake->now_us + (int64_t)service_us,
+                  .kind = HAPPEN_SERVED,
+                  .daemon = work->daemon,
+                  .attempt = work->attempt });
+}
+
+/* RETURN VALUE: an outcome at once, or GS_OUTCOME_COUNT when the request is taken in. */
+static GsOutcome
+refuse (Fake *fake, const Work *work)
+{
+  int64_t age_us = fake->now_us - fake->options.fault_at_us;
+
+  if (!is_hit (fake, work->upstream))
+    return GS_OUTCOME_COUNT;
+  if (fake->options.fault == FAKE_SHEDDING && gs_random_unit (&fake->random) < 0.5)
+    return GS_OUTCOME_REFUSED;
+  if (fake->options.fault == FAKE_COLD_START && age_us < GS_US_PER_S)
+    return GS_OUTCOME_UNREACHABLE;
+  if (fake->options.fault == FAKE_SILENT && age_us < 300 * GS_US_PER_MS)
+    return GS_OUTCOME_SILENT;
+  return GS_OUTCOME_COUNT;
+}
+
+static void
+send_attempt (Fake *fake, uint32_t daemon, const GsAttemptEffect *effect)
+{
+  Work *work = g_new0 (Work, 1);
+  Upstream *upstream;
+  GsOutcome outcome;
+
+  *work = (Work){ .daemon = daemon,
+                  .attempt = effect->attempt,
+                  .request = effect->request,
+                  .upstream = (uint16_t)(effect->port - 1),
+                  .sent_us = fake->now_us };
+  upstream = &fake->upstreams[work->upstream];
+  fake->result->attempts++;
+  if (is_hit (fake, work->upstream) && is_faulty (fake, work->upstream))
+    fake->result->hits++;
+  g_hash_table_insert (
+      fake->works, g_memdup2 (&(uint64_t){ work_key (daemon, work->attempt) }, 8), work);
+  push (fake,
+        (Happen){ .at_us = fake->now_us + effect->timeout_us,
+                  .kind = HAPPEN_TIMEOUT,
+                  .daemon = daemon,
+                  .attempt = effect->attempt });
+  outcome = refuse (fake, work);
+  if (outcome == GS_OUTCOME_SILENT)
+    return; /* the timeout ends it */
+  if (outcome != GS_OUTCOME_COUNT)
+    {
+      work->running = false;
+      end_attempt (fake, work, outcome);
+      return;
+    }
+  if (upstream->busy < fake->options.slots)
+    start_work (fake, work);
+  else
+    {
+      fake->result->met_full++;
+      g_queue_push_tail (&upstream->queue, work);
+    }
+}
+
+static void
+served (Fake *fake, Work *work)
+{
+  Upstream *upstream = &fake->upstreams[work->upstream];
+  bool failed = gs_random_unit (&fake->random) < failure_rate (fake, work);
+  Work *next;
+
+  upstream->busy--;
+  work->running = false;
+  end_attempt (fake, work, failed ? GS_OUTCOME_ERROR : GS_OUTCOME_OK);
+  while ((next = g_queue_pop_head (&upstream->queue)) != NULL && next->ended)
+    ;
+  if (next != NULL)
+    start_work (fake, next);
+}
+
+static void
+note_answer (Fake *fake, uint32_t daemon, uint64_t request, bool whole)
+{
+  uint64_t key = work_key (daemon, request);
+  int64_t *arrived = g_hash_table_lookup (fake->arrivals, &key);
+  double total_us = (double)(fake->now_us - *arrived);
+
+  if (whole)
+    {
+      fake->result->answered++;
+      fake->result->answered_first
+          += fake->options.n_workspaces > 1 && request % 2 == 0 ? 1 : 0;
+      g_array_append_val (fake->totals, total_us);
+    }
+  else
+    fake->result->refused++;
+  g_hash_table_remove (fake->arrivals, &key);
+}
+
+static void
+send_message (Fake *fake, const GsEffect *effect)
+{
+  GsEffect *copy = g_memdup2 (effect, sizeof *effect);
+
+  if (copy->kind == GS_EFFECT_PROBE)
+    copy->probe.facts
+        = g_memdup2 (effect->probe.facts, effect->probe.n_facts * sizeof (GsMemberFact));
+  push (fake,
+        (Happen){ .at_us = fake->now_us + fake->options.delay_us,
+                  .kind = HAPPEN_MESSAGE,
+                  .daemon = effect->to.ipv4 - 1,
+                  .message = copy });
+}
+
+static void
+carry_out (Fake *fake, uint32_t daemon, const GsEffect *effect)
+{
+  switch (effect->kind)
+    {
+    case GS_EFFECT_ATTEMPT:
+      send_attempt (fake, daemon, &effect->attempt);
+      break;
+    case GS_EFFECT_ANSWER:
+      note_answer (fake, daemon, effect->answer, true);
+      break;
+    case GS_EFFECT_REJECT:
+      note_answer (fake, daemon, effect->reject.request, false);
+      break;
+    case GS_EFFECT_PROBE:
+    case GS_EFFECT_EVIDENCE:
+    case GS_EFFECT_CRASH:
+      send_message (fake, effect);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+reduce (Fake *fake, uint32_t daemon, const GsEvent *event)
+{
+  GsEffects *effects = gs_effects_new ();
+
+  gs_core_reduce (fake->cores[daemon], event, effects);
+  for (uint32_t i = 0; i < gs_effects_count (effects); i++)
+    carry_out (fake, daemon, gs_effects_get (effects, i));
+  gs_effects_free (effects);
+}
+
+static void
+deliver (Fake *fake, uint32_t daemon, GsEffect *message)
+{
+  GsEvent event = { .now_us = fake->now_us };
+
+  if (message->kind == GS_EFFECT_PROBE)
+    {
+      event.kind = GS_EVENT_PROBE;
+      event.probe = &message->probe;
+    }
+  else if (message->kind == GS_EFFECT_EVIDENCE)
+    {
+      event.kind = GS_EVENT_EVIDENCE;
+      event.evidence = message->evidence;
+    }
+  else
+    {
+      event.kind = GS_EVENT_CRASH;
+      event.crash = message->crash;
+    }
+  reduce (fake, daemon, &event);
+  if (message->kind == GS_EFFECT_PROBE)
+    g_free (message->probe.facts);
+  g_free (message);
+}
+
+static void
+arrive (Fake *fake)
+{
+  uint32_t daemon = (uint32_t)(gs_random_next (&fake->random) % fake->options.n_daemons);
+  uint64_t request = ++fake->next_request;
+  uint64_t key = work_key (daemon, request);
+  g_autofree char *path = NULL;
+  GsEvent event = { .kind = GS_EVENT_REQUEST, .now_us = fake->now_us };
+
+  path = fake->options.n_workspaces > 1 && request % 2 == 0
+             ? g_strdup ("/w0")
+             : g_strdup_printf ("/w%u",
+                                1 + (uint32_t)(request % MAX (fake->options.n_workspaces, 1)));
+  event.request.request = request;
+  event.request.host = "pool";
+  event.request.path = path;
+  event.request.fingerprint = gs_mix64 (request);
+  fake->result->requests++;
+  g_hash_table_insert (fake->arrivals,
+                       g_memdup2 (&key, sizeof key),
+                       g_memdup2 (&fake->now_us, sizeof fake->now_us));
+  reduce (fake, daemon, &event);
+}
+
+static void
+next_arrival (Fake *fake)
+{
+  double rate = fake->options.utilization * fake->options.n_upstreams * fake->options.slots
+                / fake->options.service_us;
+  double burst = fake->options.burstiness > 1 ? fake->options.burstiness : 1;
+  double gap_us = gs_random_unit (&fake->random) < 1 / burst
+                      ? exponential (fake, burst / rate)
+                      : 0; /* within a burst */
+
+  push (fake, (Happen){ .at_us = fake->now_us + (int64_t)gap_us, .kind = HAPPEN_ARRIVAL });
+}
+
+/* Looks at every daemon's view of every upstream. */
+static void
+watch (Fake *fake)
+{
+  FakeResult *result = fake->result;
+  bool faulty_in = false;
+  double step_s = (double)FAKE_TICK_US / GS_US_PER_S;
+
+  for (uint32_t d = 0; d < fake->options.n_daemons; d++)
+    {
+      const GsPool *pool = gs_core_pool (fake->cores[d], "w", "p");
+      for (uint16_t u = 0; pool != NULL && u < fake->options.n_upstreams; u++)
+        {
+          GsUpstreamView view;
+          bool out;
+          bool own_path = fake->options.fault == FAKE_PATH_BROKEN && d == 0 && u == 0;
+          bool down = fake->options.fault == FAKE_COLD_START && u == 0;
+          bool faulty = fake->now_us >= fake->options.fault_at_us && is_faulty (fake, u);
+          gs_pool_view (pool, u, &view);
+          out = view.state == GS_UPSTREAM_EJECTED || view.state == GS_UPSTREAM_TRIAL;
+          faulty_in = faulty_in || (faulty && !out);
+          if (out && !faulty && !own_path && !down)
+            {
+              result->false_ejections += fake->was_out[d][u] ? 0 : 1;
+              result->healthy_ejected_s += step_s / fake->options.n_daemons;
+            }
+          fake->was_out[d][u] = out;
+        }
+      if (pool != NULL)
+        result->least_in_rotation
+            = MIN (result->least_in_rotation, gs_pool_in_rotation (pool));
+    }
+  if (fake->now_us < fake->options.fault_at_us || faulty_in || result->detection_us >= 0
+      || !is_faulty (fake, 0))
+    return;
+  result->detection_us = fake->now_us - fake->options.fault_at_us;
+  result->samples = fake->upstreams[0].answers_since_fault;
+}
+
+static void
+tick (Fake *fake, uint32_t daemon)
+{
+  GsEvent event = { .kind = GS_EVENT_TICK, .now_us = fake->now_us };
+
+  reduce (fake, daemon, &event);
+  push (fake,
+        (Happen){ .at_us = fake->now_us + FAKE_TICK_US, .kind = HAPPEN_TICK, .daemon = daemon });
+  if (daemon == 0)
+    watch (fake);
+}
+
+static GsDocument *
+make_tables (const FakeOptions *options)
+{
+  GsDocument *document = gs_document_new ("w", 1);
+  GsPoolRow *pool;
+
+  document->pools = g_new0 (GsPoolRow, 1);
+  document->n_pools = 1;
+  pool = &document->pools[0];
+  *pool = (GsPoolRow){ .name = g_strdup ("p"),
+                       .slots = options->slots,
+                       .max_connections = 300,
+                       .floor_percent = options->floor_percent,
+                       .homes = (uint8_t)MIN (options->n_daemons, 16),
+                       .cost = options->cost,
+                       .n_upstreams = options->n_upstreams,
+                       .upstreams = g_new0 (GsUpstreamRow, options->n_upstreams) };
+  for (uint16_t i = 0; i < options->n_upstreams; i++)
+    pool->upstreams[i] = (GsUpstreamRow){ .id = g_strdup_printf ("u%u", i),
+                                          .failure_domain = "d",
+                                          .ipv4 = 1,
+                                          .port = (uint16_t)(i + 1) };
+  document->n_routes = MAX (options->n_workspaces, 1) + 1;
+  document->routes = g_new0 (GsRoute, document->n_routes);
+  for (uint32_t i = 0; i < document->n_routes; i++)
+    document->routes[i] = (GsRoute){ .name = g_strdup_printf ("r%u", i),
+                                     .host = g_strdup ("pool"),
+                                     .prefix = g_strdup_printf ("/w%u", i),
+                                     .pool = g_strdup ("p"),
+                                     .timeout_ms = options->timeout_ms,
+                                     .attempt_timeout_ms = options->attempt_timeout_ms,
+                                     .weight = 1 };
+  return document;
+}
+
+static GsMemberFact
+member_fact (uint32_t index)
+{
+  GsMemberFact fact = { .ipv4 = index + 1, .peer_port = 1, .incarnation = 1, .ready = 1 };
+
+  g_snprintf (fact.id, sizeof fact.id, "m%u", index);
+  g_snprintf (fact.failure_domain, sizeof fact.failure_domain, "d%u", index % 3);
+  return fact;
+}
+
+static void
+introduce (Fake *fake, uint32_t daemon)
+{
+  GsProbe probe = { .kind = GS_PROBE_MEMBERS };
+  GsEvent event = { .kind = GS_EVENT_PROBE, .now_us = fake->now_us, .probe = &probe };
+
+  for (uint32_t i = 0; i < fake->options.n_daemons; i++)
+    {
+      probe.from = member_fact (i);
+      if (i != daemon)
+        reduce (fake, daemon, &event);
+    }
+}
+
+static void
+start_daemon (Fake *fake, uint32_t daemon)
+{
+  GsCoreOptions options = { .self = member_fact (daemon),
+                            .seed = gs_mix64 (fake->options.seed * 64 + daemon),
+                            .detector = fake->options.detector,
+                            .detector_threshold = fake->options.threshold,
+                            .keep_evidence = fake->options.alone };
+  GsEvent begin
+      = { .kind = GS_EVENT_POSITION, .now_us = fake->now_us, .position = { .from_start = true } };
+  GsEvent edit = { .kind = GS_EVENT_EDIT,
+                   .now_us = fake->now_us,
+                   .edit = { .edit = { .submission = 1,
+                                       .workspace = "w",
+                                       .text = "",
+                                       .document = make_tables (&fake->options) } } };
+
+  fake->cores[daemon] = gs_core_new (&options);
+  reduce (fake, daemon, &begin);
+  reduce (fake, daemon, &edit);
+  push (fake, (Happen){ .at_us = fake->now_us, .kind = HAPPEN_TICK, .daemon = daemon });
+}
+
+static int
+compare_doubles (const void *left, const void *right)
+{
+  double a = *(const double *)left;
+  double b = *(const double *)right;
+
+  return a < b ? -1 : a > b;
+}
+
+static double
+p99 (GArray *values)
+{
+  if (values->len == 0)
+    return 0;
+  qsort (values->data, values->len, sizeof (double), compare_doubles);
+  return g_array_index (values, double, (guint)((values->len - 1) * 0.99));
+}
+
+static void
+happen (Fake *fake, const Happen *next)
+{
+  uint64_t key = work_key (next->daemon, next->attempt);
+  Work *work;
+
+  switch (next->kind)
+    {
+    case HAPPEN_ARRIVAL:
+      arrive (fake);
+      next_arrival (fake);
+      break;
+    case HAPPEN_TICK:
+      tick (fake, next->daemon);
+      break;
+    case HAPPEN_MESSAGE:
+      deliver (fake, next->daemon, next->message);
+      break;
+    case HAPPEN_SERVED:
+      work = g_hash_table_lookup (fake->works, &key);
+      served (fake, work);
+      break;
+    case HAPPEN_TIMEOUT:
+      work = g_hash_table_lookup (fake->works, &key);
+      end_attempt (fake,
+                   work,
+                   fake->options.fault == FAKE_SILENT && !work->running ? GS_OUTCOME_SILENT
+                                                                        : GS_OUTCOME_TIMEOUT);
+      break;
+    }
+}
+
+static void
+finish (Fake *fake)
+{
+  fake->result->wait_p99_us = p99 (fake->waits);
+  fake->result->total_p99_us = p99 (fake->totals);
+  for (guint i = 0; i < fake->heap->len; i++)
+    {
+      Happen *left = &g_array_index (fake->heap, Happen, i);
+      if (left->kind != HAPPEN_MESSAGE)
+        continue;
+      if (left->message->kind == GS_EFFECT_PROBE)
+        g_free (left->message->probe.facts);
+      g_free (left->message);
+    }
+  for (uint32_t d = 0; d < fake->options.n_daemons; d++)
+    gs_core_free (fake->cores[d]);
+  for (uint16_t u = 0; u < fake->options.n_upstreams; u++)
+    g_queue_clear (&fake->upstreams[u].queue);
+  g_array_unref (fake->heap);
+  g_array_unref (fake->waits);
+  g_array_unref (fake->totals);
+  g_hash_table_destroy (fake->works);
+  g_hash_table_destroy (fake->arrivals);
+  g_free (fake);
+}
+
+void
+fake_pool_run (const FakeOptions *options, FakeResult *result)
+{
+  Fake *fake = g_new0 (Fake, 1);
+
+  *result = (FakeResult){ .detection_us = -1, .least_in_rotation = options->n_upstreams };
+  fake->options = *options;
+  fake->result = result;
+  fake->random.state = gs_mix64 (options->seed + 77);
+  fake->now_us = GS_US_PER_S;
+  fake->options.fault_at_us += fake->now_us;
+  fake->heap = g_array_new (FALSE, FALSE, sizeof (Happen));
+  fake->waits = g_array_new (FALSE, FALSE, sizeof (double));
+  fake->totals = g_array_new (FALSE, FALSE, sizeof (double));
+  fake->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  fake->arrivals = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  for (uint32_t d = 0; d < options->n_daemons; d++)
+    start_daemon (fake, d);
+  for (uint32_t d = 0; d < options->n_daemons && !options->alone; d++)
+    introduce (fake, d);
+  next_arrival (fake);
+  while (fake->now_us < GS_US_PER_S + options->duration_us)
+    {
+      Happen next = pop (fake);
+      fake->now_us = next.at_us;
+      happen (fake, &next);
+    }
+  finish (fake);
+}
