Judge by the other upstreams' behaviour, one active home a pool

Ruled out: a higher threshold alone (detection doubles, the collisions stay). Change: one active home a pool with two standbys; evidence is shared an alternative and capped by the own; when more than half of a pool is accused, nobody is and the reference is learned anew; a silent connection is proved on a fresh one first; running attempts count by their age. Conclusion: concentration at one home gives exact slot counts and the whole evidence at once.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -129,7 +129,7 @@
   state->pool = gs_pool_new (&options);
   state->queue = gs_queue_new ();
   core_refresh_homes (core, state);
-  gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_homes, 1));
+  gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_active, 1));
   core_report_changes (core, state);
   return state->pool;
 }
@@ -137,10 +137,9 @@
 uint32_t
 gs_core_homes (const GsCore *core, const GsPoolRow *pool, uint32_t *indexes)
 {
-  uint32_t count = core->options.homes > 0 ? (uint32_t)core->options.homes : pool->homes;
   uint64_t key = gs_core_pool_key (pool->document->workspace, pool->name);
 
-  return gs_members_homes (core->members, key, MIN (count, CORE_HOMES_MAX), indexes);
+  return gs_members_homes (core->members, key, pool->homes + GS_STANDBYS, indexes);
 }
 
 void
@@ -155,11 +154,12 @@
   state->homes_epoch = epoch;
   state->homes_revision = row->document->revision;
   state->n_homes = gs_core_homes (core, row, state->homes);
+  state->n_active = MIN (state->n_homes, row->homes);
   state->is_home = state->n_homes == 0;
-  for (uint32_t i = 0; i < state->n_homes; i++)
+  for (uint32_t i = 0; i < state->n_active; i++)
     state->is_home = state->is_home || state->homes[i] == 0;
   if (state->pool != NULL)
-    gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_homes, 1));
+    gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_active, 1));
 }
 
 /* Adds a copy of the message EFFECT for each other home of the pool. */
@@ -212,6 +212,7 @@
         continue;
       effect.evidence.pool = state->key;
       effect.evidence.score_nats = view.score_nats;
+      effect.evidence.level = (uint8_t)gs_pool_level (state->pool, i);
       g_strlcpy (effect.evidence.from, core->options.self.id, sizeof effect.evidence.from);
       g_strlcpy (effect.evidence.upstream, view.id, sizeof effect.evidence.upstream);
       core_tell_homes (core, state, &effect);
@@ -355,8 +356,8 @@
     return;
   for (uint32_t i = 0; i < state->n_homes; i++)
     if (strcmp (gs_members_get (core->members, state->homes[i])->id, evidence->from) == 0)
-      gs_pool_peer_evidence (state->pool, (uint16_t)i, evidence->upstream, evidence->score_nats,
-                             core->now_us);
+      gs_pool_peer_evidence (state->pool, (uint16_t)i, evidence->upstream, evidence->level,
+                             evidence->score_nats, core->now_us);
   core_report_changes (core, state);
 }
 
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -33,6 +33,7 @@
 enum
 {
   GS_ENTRIES_MAX = 8,       /**< daemons named in an answer to the address question */
+  GS_STANDBYS = 2,          /**< homes of a pool that take over when an active one is lost */
   GS_NOTICE_TEXT_MAX = 320, /**< bytes of a notice's fields */
 };
 
@@ -121,6 +122,7 @@
   char from[GS_NAME_MAX + 1]; /**< daemon */
   uint64_t pool;              /**< gs_core_pool_key */
   char upstream[GS_NAME_MAX + 1];
+  uint8_t level; /**< number of the alternative that accuses it */
   double score_nats;
 } GsEvidence;
 
@@ -290,7 +292,6 @@
   double detector_threshold;       /**< nats; 0: by the pool's cost */
   GsLevel notice_level;            /**< graver or equal notices become effects; 0: none */
   bool keep_evidence;              /**< do not tell other homes of evidence (measurement only) */
-  int32_t homes;                   /**< overrides the pools' home sets; 0: as in the tables */
 } GsCoreOptions;
 
 typedef struct GsCore GsCore;
@@ -318,8 +319,7 @@
 /** RETURN VALUE: a key that names a pool in peer messages. */
 uint64_t gs_core_pool_key (const char *workspace, const char *pool);
 
-/** Writes the member indexes of a pool's home set to INDEXES (at least 16). RETURN VALUE: how many.
- */
+/** Writes the member indexes of a pool's homes to INDEXES (at least 18). RETURN VALUE: how many. */
 uint32_t gs_core_homes (const GsCore *core, const GsPoolRow *pool, uint32_t *indexes);
 
 /** RETURN VALUE: true when this daemon is the one that claims keys of PARTITION at the moment. */
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -18,7 +18,7 @@
 
 enum
 {
-  CORE_HOMES_MAX = 16,
+  CORE_HOMES_MAX = 16 + GS_STANDBYS,
   CORE_ATTEMPTS_MAX = 3, /* attempts of one request at one daemon */
 };
 
@@ -31,11 +31,12 @@
   GsPool *pool; /* NULL until the daemon serves the pool */
   GsQueue *queue;
   GsBudget budget;
-  uint32_t homes[CORE_HOMES_MAX];
+  uint32_t homes[CORE_HOMES_MAX]; /* active homes first, then standbys */
   uint32_t n_homes;
+  uint32_t n_active;
   uint64_t homes_epoch;
   uint64_t homes_revision;
-  bool is_home;
+  bool is_home; /* this daemon is an active home */
 } PoolState;
 
 typedef enum
@@ -81,6 +82,7 @@
   int64_t started_us;
   bool forward;
   bool counted; /* as overdue */
+  bool late;    /* its age was counted */
   bool began;   /* its answer is being passed on */
   char target[GS_NAME_MAX + 1];
 } Attempt;
--- a/src/gentian/core/detector.c
+++ b/src/gentian/core/detector.c
@@ -21,14 +21,16 @@
 /** Failure rate that counts as ordinary in any pool. */
 #define DETECTOR_RATE_MIN 0.001
 /** Weight of the prior on the failure rate, in answers. */
-#define DETECTOR_PRIOR_ANSWERS 200.0
+#define DETECTOR_PRIOR_ANSWERS 50.0
+/** What is left of the history of failures when the pool as a whole has changed. */
+#define DETECTOR_KEPT_SHARE 0.1
 /** Smoothing of the histogram, as a share of all answers for each bin. */
 #define DETECTOR_SMOOTHING 0.0008
 /** Most evidence that the time of one answer may add or take, in nats. */
 #define DETECTOR_STEP_MAX_NATS 3.0
 /** Evidence for and against health that ends a trial, in nats. */
 #define DETECTOR_TRIAL_PASS_NATS 3.0
-#define DETECTOR_TRIAL_FAIL_NATS 2.0
+#define DETECTOR_TRIAL_FAIL_NATS 4.0
 
 static const double error_rates[DETECTOR_ERROR_LEVELS] = { 0.05, 0.20, 0.80 };
 static const int slow_shifts[DETECTOR_SLOW_LEVELS] = { 6, 13 }; /* factors 2.8 and 9.5 */
@@ -142,9 +144,11 @@
              int level,
              const GsSample *sample)
 {
+  if (level < DETECTOR_ERROR_LEVELS && sample->provisional)
+    return 0;
   if (level < DETECTOR_ERROR_LEVELS)
     return error_ratio (level, reference_rate (detector, own), sample->failed);
-  if (sample->failed || !sample->time_counts)
+  if (sample->failed || !sample->time_counts || sample->judged)
     return 0;
   return slow_ratio (detector, own, level - DETECTOR_ERROR_LEVELS, time_bin (sample->answer_us));
 }
@@ -203,7 +207,7 @@
       if (own->in_trial && level == own->trial_level)
         own->trial_evidence += ratio;
     }
-  if (own->in_trial)
+  if (own->in_trial || sample->provisional)
     return; /* an ejected upstream is no reference for the others */
   remember_outcome (detector, own, sample->failed);
   if (!sample->failed && sample->time_counts)
@@ -259,6 +263,31 @@
   return own->trial_evidence >= DETECTOR_TRIAL_FAIL_NATS ? GS_TRIAL_FAILED : GS_TRIAL_OPEN;
 }
 
+static int
+sequential_level (const GsDetector *base, uint16_t upstream)
+{
+  return strongest_level (&((const SequentialDetector *)base)->upstreams[upstream]);
+}
+
+static void
+forget_history (UpstreamEvidence *history)
+{
+  history->answers *= DETECTOR_KEPT_SHARE;
+  history->failures *= DETECTOR_KEPT_SHARE;
+  memset (history->histogram, 0, sizeof history->histogram);
+  history->times = 0;
+}
+
+static void
+sequential_forget_reference (GsDetector *base)
+{
+  SequentialDetector *detector = (SequentialDetector *)base;
+
+  for (uint16_t i = 0; i < base->n_upstreams; i++)
+    forget_history (&detector->upstreams[i]);
+  forget_history (&detector->total);
+}
+
 static const char *
 sequential_reason (const GsDetector *base, uint16_t upstream)
 {
@@ -271,7 +300,9 @@
   .destroy = sequential_destroy,
   .sample = sequential_sample,
   .score = sequential_score,
+  .level = sequential_level,
   .settle = sequential_settle,
+  .forget_reference = sequential_forget_reference,
   .begin_trial = sequential_begin_trial,
   .trial = sequential_trial,
   .reason = sequential_reason,
@@ -283,11 +314,11 @@
   switch (cost)
     {
     case GS_COST_FALSE_EJECTION:
-      return 18.0;
+      return 24.0;
     case GS_COST_DETECTION:
-      return 11.0;
+      return 15.0;
     default:
-      return 14.0;
+      return 19.0;
     }
 }
 
@@ -330,6 +361,18 @@
   return detector->threshold;
 }
 
+int
+gs_detector_level (const GsDetector *detector, uint16_t upstream)
+{
+  return detector->behaviour->level (detector, upstream);
+}
+
+void
+gs_detector_forget_reference (GsDetector *detector)
+{
+  detector->behaviour->forget_reference (detector);
+}
+
 void
 gs_detector_settle (GsDetector *detector, uint16_t upstream)
 {
--- a/src/gentian/core/detector.h
+++ b/src/gentian/core/detector.h
@@ -28,6 +28,8 @@
   int64_t answer_us; /**< time to the first byte of the answer; used when `failed` is false */
   bool failed;
   bool time_counts; /**< false while the upstream is warming */
+  bool provisional; /**< the attempt is still running after `answer_us` */
+  bool judged;      /**< a provisional sample of the same attempt came before */
 } GsSample;
 
 typedef struct GsDetector GsDetector;
@@ -57,7 +59,9 @@
   void (*destroy) (GsDetector *detector);
   void (*sample) (GsDetector *detector, uint16_t upstream, const GsSample *sample);
   double (*score) (const GsDetector *detector, uint16_t upstream);
+  int (*level) (const GsDetector *detector, uint16_t upstream);
   void (*settle) (GsDetector *detector, uint16_t upstream);
+  void (*forget_reference) (GsDetector *detector);
   void (*begin_trial) (GsDetector *detector, uint16_t upstream);
   GsTrial (*trial) (const GsDetector *detector, uint16_t upstream);
   const char *(*reason) (const GsDetector *detector, uint16_t upstream);
@@ -83,6 +87,12 @@
 /** RETURN VALUE: the evidence, in nats, at which an upstream is ejected. */
 double gs_detector_threshold (const GsDetector *detector);
 
+/** RETURN VALUE: number of the alternative with the most evidence against UPSTREAM. */
+int gs_detector_level (const GsDetector *detector, uint16_t upstream);
+
+/** Forgets most of what is usual in the pool: the pool as a whole has changed. */
+void gs_detector_forget_reference (GsDetector *detector);
+
 /** Forgets the evidence against UPSTREAM; its history as a reference for the others stays. */
 void gs_detector_settle (GsDetector *detector, uint16_t upstream);
 
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -6,7 +6,7 @@
 
 enum
 {
-  POOL_SILENT_BEFORE_BLAME = 1,  /* silent kept connections that are not held against an upstream */
+  POOL_LATE_MAX = 4,             /* late attempts that count between two answers of an upstream */
   POOL_UNREACHABLE_IN_A_ROW = 2, /* failed connects in a row that take an upstream out */
 };
 
@@ -16,7 +16,9 @@
 #define POOL_WARM_US (5 * GS_US_PER_S)
 /** An upstream that stayed healthy this long starts again with the first hold time. */
 #define POOL_CALM_US (120 * GS_US_PER_S)
-#define POOL_PEER_EVIDENCE_US GS_US_PER_S
+#define POOL_PEER_EVIDENCE_US (200 * GS_US_PER_MS)
+/** After this time the kept connections to an upstream may have gone silent again. */
+#define POOL_FRESH_US (10 * GS_US_PER_S)
 /** The platform's list may name a leaving upstream as live for this long. */
 #define POOL_LIST_LAG_US (60 * GS_US_PER_S)
 #define POOL_SHED_BACKOFF_US (50 * GS_US_PER_MS)
@@ -24,12 +26,17 @@
 #define POOL_OVERDUE_MIN_US (100 * GS_US_PER_MS)
 /** An attempt is overdue after this many times the pool's typical time. */
 #define POOL_OVERDUE_FACTOR 12
+/** An attempt is late after this many times the pool's typical time. */
+#define POOL_LATE_FACTOR 6
 /** Weight of the newest answer in the moving average of answer times. */
 #define POOL_LATENCY_WEIGHT 0.1
 /** Own share of the evidence that an ejection needs when other homes accuse too. */
 #define POOL_OWN_EVIDENCE_SHARE 0.2
-/** An upstream counts as accused, for the test whether the whole pool is, from this share on. */
-#define POOL_ACCUSED_SHARE 0.4
+/** Evidence against half of the upstreams, as a share of the threshold, that accuses the pool
+ * instead. */
+#define POOL_ACCUSED_SHARE 0.3
+/** Most that another home's evidence counts, as a multiple of the own. */
+#define POOL_PEER_SHARE_MAX 1.5
 /** Part of an even share of the slots that a home may use beyond it. */
 #define POOL_LENT_SHARE 0.5
 
@@ -37,6 +44,7 @@
 {
   double score_nats;
   int64_t at_us;
+  int level;
 } PeerEvidence;
 
 typedef struct
@@ -48,14 +56,16 @@
   uint16_t port;
   GsUpstreamState state;
   uint32_t outstanding;
-  uint16_t silent;
   uint16_t unreachable;
+  uint16_t late;
   int64_t hold_us;
   int64_t hold_until_us;
   int64_t warm_from_us;
   int64_t healthy_from_us;
   int64_t shed_until_us;
   int64_t left_at_us;
+  int64_t answered_us;   /* time of the last answer */
+  int64_t fresh_from_us; /* attempts sent since then use fresh connections */
   double latency_us;
   PeerEvidence peers[GS_POOL_PEERS_MAX];
 } Upstream;
@@ -191,14 +201,17 @@
   change_state (pool, index, GS_UPSTREAM_EJECTED, reason);
 }
 
+/* What the other homes know of the same alternative; none counts for much more than the own
+ * evidence. */
 static double
-peers_score (const Upstream *upstream, int64_t now_us)
+peers_score (const Upstream *upstream, int level, double own, int64_t now_us)
 {
   double sum = 0;
 
   for (int i = 0; i < GS_POOL_PEERS_MAX; i++)
-    if (upstream->peers[i].at_us != 0 && now_us - upstream->peers[i].at_us < POOL_PEER_EVIDENCE_US)
-      sum += upstream->peers[i].score_nats;
+    if (upstream->peers[i].at_us != 0 && upstream->peers[i].level == level
+        && now_us - upstream->peers[i].at_us < POOL_PEER_EVIDENCE_US)
+      sum += MIN (upstream->peers[i].score_nats, own * POOL_PEER_SHARE_MAX);
   return sum;
 }
 
@@ -212,9 +225,13 @@
 
   if (own < threshold * POOL_OWN_EVIDENCE_SHARE)
     return own;
-  return own + peers_score (&pool->upstreams[index], now_us);
+  return own
+         + peers_score (&pool->upstreams[index], gs_detector_level (pool->detector, index), own,
+                        now_us);
 }
 
+/* More than half of the upstreams in rotation are accused: the pool has changed, nobody stands out.
+ */
 static bool
 whole_pool_accused (const GsPool *pool, int64_t now_us)
 {
@@ -233,20 +250,21 @@
   for (uint16_t i = 0; i < pool->n_upstreams; i++)
     if (in_rotation (&pool->upstreams[i]))
       gs_detector_settle (pool->detector, i);
+  gs_detector_forget_reference (pool->detector);
 }
 
 static void
 judge (GsPool *pool, uint16_t index, int64_t now_us)
 {
-  if (!in_rotation (&pool->upstreams[index])
-      || joint_score (pool, index, now_us) < gs_detector_threshold (pool->detector))
+  double threshold = gs_detector_threshold (pool->detector);
+  double score = joint_score (pool, index, now_us);
+
+  if (!in_rotation (&pool->upstreams[index]) || score < threshold * POOL_ACCUSED_SHARE)
     return;
   if (pool->n_upstreams > 1 && whole_pool_accused (pool, now_us))
-    {
-      settle_all (pool);
-      return;
-    }
-  eject (pool, index, now_us, gs_detector_reason (pool->detector, index), POOL_HOLD_FIRST_US);
+    settle_all (pool);
+  else if (score >= threshold)
+    eject (pool, index, now_us, gs_detector_reason (pool->detector, index), POOL_HOLD_FIRST_US);
 }
 
 static void
@@ -288,10 +306,12 @@
   Upstream *upstream = &pool->upstreams[index];
   GsSample sample = { .now_us = end->now_us,
                       .answer_us = end->answer_us,
+                      .judged = end->late,
                       .time_counts = upstream->state != GS_UPSTREAM_WARMING };
 
-  upstream->silent = 0;
   upstream->unreachable = 0;
+  upstream->late = 0;
+  upstream->answered_us = end->now_us;
   upstream->latency_us += POOL_LATENCY_WEIGHT * ((double)end->answer_us - upstream->latency_us);
   if (in_rotation (upstream))
     pool->latency_us += POOL_LATENCY_WEIGHT / MAX (pool->n_upstreams, 1)
@@ -316,16 +336,6 @@
     eject (pool, index, now_us, "unreachable", POOL_HOLD_UNREACHABLE_US);
 }
 
-static void
-note_silent (GsPool *pool, uint16_t index, const GsEnd *end)
-{
-  Upstream *upstream = &pool->upstreams[index];
-
-  if (upstream->silent++ < POOL_SILENT_BEFORE_BLAME)
-    return;
-  add_failure (pool, index, end->now_us);
-}
-
 void
 gs_pool_begin (GsPool *pool, uint16_t upstream)
 {
@@ -356,7 +366,7 @@
       break;
     case GS_OUTCOME_SILENT:
       if (!end->counted)
-        note_silent (pool, index, end);
+        gs_pool_overdue (pool, index, end->sent_us, end->now_us);
       break;
     case GS_OUTCOME_CANCELLED:
       break;
@@ -366,10 +376,40 @@
     }
 }
 
+bool
+gs_pool_overdue (GsPool *pool, uint16_t index, int64_t sent_us, int64_t now_us)
+{
+  Upstream *upstream = &pool->upstreams[index];
+
+  if (upstream->fresh_from_us == 0 || now_us - upstream->fresh_from_us > POOL_FRESH_US)
+    {
+      upstream->fresh_from_us = now_us;
+      if (now_us - upstream->answered_us >= gs_pool_overdue_us (pool))
+        gs_detector_settle (pool->detector, index); /* it may be the connections alone */
+      return true;
+    }
+  if (sent_us >= upstream->fresh_from_us)
+    add_failure (pool, index, now_us);
+  return false;
+}
+
 void
-gs_pool_overdue (GsPool *pool, uint16_t upstream, int64_t now_us)
+gs_pool_late (GsPool *pool, uint16_t index, int64_t age_us, int64_t now_us)
 {
-  add_failure (pool, upstream, now_us);
+  Upstream *upstream = &pool->upstreams[index];
+  GsSample sample = { .now_us = now_us,
+                      .answer_us = age_us,
+                      .provisional = true,
+                      .time_counts = upstream->state != GS_UPSTREAM_WARMING };
+
+  if (upstream->late++ < POOL_LATE_MAX)
+    add_sample (pool, index, &sample);
+}
+
+int64_t
+gs_pool_late_us (const GsPool *pool)
+{
+  return (int64_t)(pool->latency_us * POOL_LATE_FACTOR);
 }
 
 void
@@ -441,6 +481,7 @@
 gs_pool_peer_evidence (GsPool *pool,
                        uint16_t peer,
                        const char *id,
+                       int level,
                        double score_nats,
                        int64_t now_us)
 {
@@ -449,11 +490,18 @@
 
   if (index < 0 || !isfinite (score_nats))
     return;
-  pool->upstreams[index].peers[peer % GS_POOL_PEERS_MAX]
-      = (PeerEvidence){ .score_nats = CLAMP (score_nats, 0, threshold), .at_us = now_us };
+  pool->upstreams[index].peers[peer % GS_POOL_PEERS_MAX] = (PeerEvidence){
+    .score_nats = CLAMP (score_nats, 0, threshold), .at_us = now_us, .level = level
+  };
   judge (pool, (uint16_t)index, now_us);
 }
 
+int
+gs_pool_level (const GsPool *pool, uint16_t upstream)
+{
+  return gs_detector_level (pool->detector, upstream);
+}
+
 static uint32_t
 slot_limit (const GsPool *pool, const Upstream *upstream, int64_t now_us)
 {
--- a/src/gentian/core/pool.h
+++ b/src/gentian/core/pool.h
@@ -87,8 +87,10 @@
 {
   int64_t now_us;
   int64_t answer_us; /**< time to the first byte of the answer */
+  int64_t sent_us;
   GsOutcome outcome;
   bool counted;  /**< true when the attempt was already counted as overdue */
+  bool late;     /**< true when its age was already counted as late */
   bool no_blame; /**< true when the request, not the upstream, is suspected */
 } GsEnd;
 
@@ -109,8 +111,23 @@
 /** Notes how an attempt at UPSTREAM ended and ejects it where the evidence suffices. */
 void gs_pool_end (GsPool *pool, uint16_t upstream, const GsEnd *end);
 
-/** Counts an attempt that is running far longer than the pool's answers do as a failure. */
-void gs_pool_overdue (GsPool *pool, uint16_t upstream, int64_t now_us);
+/**
+ * Judges an attempt, sent at SENT_US, that is running far longer than the pool's answers do. It is
+ * held against the upstream only when it was sent on a connection known to be fresh.
+ *
+ * RETURN VALUE: true when the kept connections to the upstream must be closed first, so that later
+ * attempts prove the upstream on fresh ones.
+ */
+bool gs_pool_overdue (GsPool *pool, uint16_t upstream, int64_t sent_us, int64_t now_us);
+
+/**
+ * Counts the age of a running attempt as if it were its answer time. At most a few count between
+ * two answers of an upstream, so that connections gone silent together cannot condemn it.
+ */
+void gs_pool_late (GsPool *pool, uint16_t upstream, int64_t age_us, int64_t now_us);
+
+/** RETURN VALUE: age in microseconds at which a running attempt is late. */
+int64_t gs_pool_late_us (const GsPool *pool);
 
 /** RETURN VALUE: age in microseconds at which a running attempt is overdue. */
 int64_t gs_pool_overdue_us (const GsPool *pool);
@@ -137,9 +154,13 @@
 void gs_pool_peer_evidence (GsPool *pool,
                             uint16_t peer,
                             const char *id,
+                            int level,
                             double score_nats,
                             int64_t now_us);
 
+/** RETURN VALUE: number of the alternative that accuses UPSTREAM most. */
+int gs_pool_level (const GsPool *pool, uint16_t upstream);
+
 /** Moves upstreams whose time has come: trials, warm-up, return. */
 void gs_pool_tick (GsPool *pool, int64_t now_us);
 
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -127,21 +127,33 @@
                with_right ? "holder-of-right" : "home");
 }
 
-/* A home that this daemon can reach and has not tried yet; homes take turns by request. */
+static const GsMemberFact *
+usable_home (GsCore *core, const Request *request, uint32_t index)
+{
+  const GsMemberFact *member = gs_members_get (core->members, index);
+
+  if (index == 0 || !gs_members_reachable (core->members, index)
+      || was_tried (request, gs_hash_name (member->id)))
+    return NULL;
+  return member;
+}
+
+/* An active home that this daemon can reach and has not tried; they take turns by request. */
 static const GsMemberFact *
 pick_home (GsCore *core, const Request *request)
 {
   const PoolState *state = request->pool;
+  const GsMemberFact *home = NULL;
 
-  for (uint32_t i = 0; i < state->n_homes; i++)
+  for (uint32_t i = 0; home == NULL && i < state->n_active; i++)
+    home = usable_home (core, request, state->homes[(request->id + i) % state->n_active]);
+  for (uint32_t i = state->n_active; home == NULL && i < state->n_homes; i++)
     {
-      uint32_t index = state->homes[(request->id + i) % state->n_homes];
-      const GsMemberFact *member = gs_members_get (core->members, index);
-      if (index != 0 && gs_members_reachable (core->members, index)
-          && !was_tried (request, gs_hash_name (member->id)))
-        return member;
+      if (state->homes[i] == 0)
+        return NULL; /* this daemon is the next standby and serves it itself */
+      home = usable_home (core, request, state->homes[i]);
     }
-  return NULL;
+  return home;
 }
 
 /* Starts an attempt where the limit and a slot allow. RETURN VALUE: false when there is no slot. */
@@ -404,6 +416,14 @@
                attempt->fingerprint, attempt->target);
 }
 
+static void
+drop_connections (GsCore *core, const GsUpstreamView *view, const char *reason)
+{
+  core_add_effect (core, GS_EFFECT_DROP_CONNECTIONS)->drop
+      = (GsPeerAddress){ .ipv4 = view->ipv4, .peer_port = view->port };
+  core_notice (core, GS_NOTICE_CONNECTIONS_DROPPED, "upstream=%s reason=%s", view->id, reason);
+}
+
 static void
 end_at_upstream (GsCore *core, const Attempt *attempt, const GsAttemptEndEvent *event)
 {
@@ -412,8 +432,10 @@
   GsUpstreamView view = { 0 };
   GsEnd end = { .now_us = core->now_us,
                 .answer_us = event->answer_us,
+                .sent_us = attempt->started_us,
                 .outcome = event->outcome,
-                .counted = attempt->counted };
+                .counted = attempt->counted,
+                .late = attempt->late };
 
   if (event->outcome == GS_OUTCOME_CLOSED)
     end.no_blame = note_crash (core, attempt);
@@ -424,12 +446,7 @@
   gs_pool_view (pool, (uint16_t)index, &view);
   gs_pool_end (pool, (uint16_t)index, &end);
   if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CLOSED)
-    {
-      core_add_effect (core, GS_EFFECT_DROP_CONNECTIONS)->drop
-          = (GsPeerAddress){ .ipv4 = view.ipv4, .peer_port = view.port };
-      core_notice (core, GS_NOTICE_CONNECTIONS_DROPPED, "upstream=%s reason=%s", view.id,
-                   gs_outcome_name (event->outcome));
-    }
+    drop_connections (core, &view, gs_outcome_name (event->outcome));
   if (event->outcome == GS_OUTCOME_LEAVING)
     {
       GsEffect sign = { .kind = GS_EFFECT_SIGN, .sign = { .leaving = true } };
@@ -581,7 +598,37 @@
 }
 
 static void
-count_overdue (GsCore *core)
+count_one_overdue (GsCore *core, Attempt *attempt)
+{
+  GsPool *pool = attempt->pool->pool;
+  int index = gs_pool_find_key (pool, attempt->upstream);
+  GsUpstreamView view;
+
+  if (index < 0)
+    return;
+  attempt->counted = true;
+  gs_pool_view (pool, (uint16_t)index, &view);
+  if (gs_pool_overdue (pool, (uint16_t)index, attempt->started_us, core->now_us))
+    drop_connections (core, &view, "overdue");
+  core_report_changes (core, attempt->pool);
+}
+
+static void
+count_one_late (GsCore *core, Attempt *attempt)
+{
+  GsPool *pool = attempt->pool->pool;
+  int index = gs_pool_find_key (pool, attempt->upstream);
+
+  attempt->late = true;
+  if (index < 0)
+    return;
+  gs_pool_late (pool, (uint16_t)index, core->now_us - attempt->started_us, core->now_us);
+  core_report_changes (core, attempt->pool);
+}
+
+/* Judges running attempts by their age. */
+static void
+judge_running (GsCore *core)
 {
   GHashTableIter iter;
   gpointer value;
@@ -590,16 +637,13 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Attempt *attempt = value;
-      int index;
-      if (attempt->forward || attempt->counted || attempt->began
-          || core->now_us - attempt->started_us < gs_pool_overdue_us (attempt->pool->pool))
-        continue;
-      index = gs_pool_find_key (attempt->pool->pool, attempt->upstream);
-      if (index < 0)
+      int64_t age_us = core->now_us - attempt->started_us;
+      if (attempt->forward || attempt->began)
         continue;
-      attempt->counted = true;
-      gs_pool_overdue (attempt->pool->pool, (uint16_t)index, core->now_us);
-      core_report_changes (core, attempt->pool);
+      if (!attempt->late && age_us >= gs_pool_late_us (attempt->pool->pool))
+        count_one_late (core, attempt);
+      if (!attempt->counted && age_us >= gs_pool_overdue_us (attempt->pool->pool))
+        count_one_overdue (core, attempt);
     }
 }
 
@@ -607,5 +651,5 @@
 request_tick (GsCore *core)
 {
   expire_waiting (core);
-  count_overdue (core);
+  judge_running (core);
 }
--- a/src/gentian/http/admin.c
+++ b/src/gentian/http/admin.c
@@ -337,7 +337,7 @@
 pool_json (const GsCore *core, const GsPoolRow *row)
 {
   const GsPool *pool = gs_core_pool (core, row->document->workspace, row->name);
-  uint32_t indexes[16];
+  uint32_t indexes[18];
   uint32_t n_homes = gs_core_homes (core, row, indexes);
   json_t *homes = json_array ();
   json_t *upstreams = json_array ();
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -82,7 +82,7 @@
     case GS_WIRE_PROBE:
       return 7;
     case GS_WIRE_EVIDENCE:
-      return 4;
+      return 5;
     case GS_WIRE_COPY_PULL:
       return 3;
     case GS_WIRE_COPY:
@@ -107,6 +107,7 @@
       gs_pack_text (packer, message->evidence.from);
       msgpack_pack_uint64 (packer, message->evidence.pool);
       gs_pack_text (packer, message->evidence.upstream);
+      msgpack_pack_uint8 (packer, message->evidence.level);
       msgpack_pack_double (packer, message->evidence.score_nats);
       break;
     case GS_WIRE_CRASH:
@@ -162,6 +163,7 @@
       gs_read_name (reader, message->evidence.from, sizeof message->evidence.from);
       message->evidence.pool = gs_read_uint (reader, UINT64_MAX);
       gs_read_name (reader, message->evidence.upstream, sizeof message->evidence.upstream);
+      message->evidence.level = (uint8_t)gs_read_uint (reader, UINT8_MAX);
       message->evidence.score_nats = gs_read_double (reader);
       break;
     case GS_WIRE_CRASH:
