--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 CPPFLAGS = -D_GNU_SOURCE $(PKG_CFLAGS)
 CFLAGS = -std=gnu11 $(CFLAGS_$(MODE)) $(WARNINGS)
 CXXFLAGS = -std=c++17 $(CFLAGS_$(MODE)) -Wall -Wextra
+CHECK_LIBS := $(shell pkg-config --libs check)
 LDLIBS = $(PKG_LIBS) -lm -lpthread
 
 LIB_SOURCES := $(wildcard src/gentian/*/*.c)
@@ -22,7 +23,7 @@
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
 FUZZERS := $(patsubst test/fuzz/%.c,build/fuzz/%,$(wildcard test/fuzz/fuzz_*.c))
 
-.PHONY: all setup demo check prove lint format bench-hop bench-detection bench-routing bench-slopes clean fuzz
+.PHONY: all setup demo check prove lint format bench-hop bench-detection bench-routing bench-slopes clean units properties fuzzers
 .SECONDARY:
 
 all: $(PROGRAMS) $(STANDINS)
@@ -54,7 +55,7 @@
 
 $(B)/unit/%: $(B)/test/unit/%.o $(LIBRARY)
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -o $@ $^ $(shell pkg-config --libs check) $(LDLIBS)
+	$(CC) $(CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
 $(B)/property/%: $(B)/test/property/%.o $(LIBRARY)
 	@mkdir -p $(@D)
@@ -76,6 +77,12 @@
 bench-detection bench-routing: bench-%: $(B)/bench/bench_%
 	$<
 
+units: $(UNIT_TESTS)
+
+properties: $(PROPERTY_TESTS)
+
+fuzzers: $(FUZZERS)
+
 check: setup
 	@tools/check
 
--- a/src/gentian/core/detector.c
+++ b/src/gentian/core/detector.c
@@ -25,9 +25,9 @@
 /** What is left of the history of failures when the pool as a whole has changed. */
 #define DETECTOR_KEPT_SHARE 0.1
 /** Smoothing of the histogram, as a share of all answers for each bin. */
-#define DETECTOR_SMOOTHING 0.0008
+#define DETECTOR_SMOOTHING 0.0003
 /** Most evidence that the time of one answer may add or take, in nats. */
-#define DETECTOR_STEP_MAX_NATS 3.0
+#define DETECTOR_STEP_MAX_NATS 4.0
 /** Evidence for and against health that ends a trial, in nats. */
 #define DETECTOR_TRIAL_PASS_NATS 3.0
 #define DETECTOR_TRIAL_FAIL_NATS 4.0
--- /dev/null
+++ b/test/unit/fixture.h
@@ -0,0 +1,182 @@
+/* A reducer with tables of one workspace, and short calls to drive it. Shared by unit tests. */
+#ifndef FIXTURE_H
+#define FIXTURE_H
+
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../src/gentian/core/core.h"
+
+typedef struct
+{
+  GsCore *core;
+  GsEffects *effects;
+  int64_t now_us;
+} Fixture;
+
+static inline GsMemberFact
+fixture_member (const char *id, const char *domain)
+{
+  GsMemberFact fact = { .ipv4 = 1, .entry_port = 80, .peer_port = 90, .incarnation = 7, .ready = 1 };
+
+  g_strlcpy (fact.id, id, sizeof fact.id);
+  g_strlcpy (fact.failure_domain, domain, sizeof fact.failure_domain);
+  return fact;
+}
+
+static inline GsDocument *
+fixture_tables (uint16_t n_upstreams, GsRepeat repeat)
+{
+  GsDocument *document = gs_document_new ("w", 1);
+
+  document->pools = g_new0 (GsPoolRow, 1);
+  document->n_pools = 1;
+  document->pools[0] = (GsPoolRow){ .name = g_strdup ("p"),
+                                    .slots = 4,
+                                    .max_connections = 300,
+                                    .floor_percent = 50,
+                                    .homes = 1,
+                                    .n_upstreams = n_upstreams,
+                                    .upstreams = g_new0 (GsUpstreamRow, n_upstreams) };
+  for (uint16_t i = 0; i < n_upstreams; i++)
+    document->pools[0].upstreams[i] = (GsUpstreamRow){
+      .id = g_strdup_printf ("u%u", i), .failure_domain = "d", .ipv4 = 1, .port = (uint16_t)(i + 1)
+    };
+  document->routes = g_new0 (GsRoute, 1);
+  document->n_routes = 1;
+  document->routes[0] = (GsRoute){ .name = g_strdup ("r"),
+                                   .host = g_strdup ("h"),
+                                   .prefix = g_strdup ("/"),
+                                   .pool = g_strdup ("p"),
+                                   .repeat = repeat,
+                                   .timeout_ms = 1000,
+                                   .attempt_timeout_ms = 400,
+                                   .weight = 1 };
+  return document;
+}
+
+static inline void
+fixture_reduce (Fixture *fixture, GsEvent *event)
+{
+  gs_effects_clear (fixture->effects);
+  event->now_us = fixture->now_us;
+  gs_core_reduce (fixture->core, event, fixture->effects);
+}
+
+static inline void
+fixture_edit (Fixture *fixture, uint64_t offset, uint64_t base, GsDocument *document)
+{
+  GsEvent edit = { .kind = GS_EVENT_EDIT,
+                   .edit = { .offset = offset,
+                             .edit = { .submission = offset + 100,
+                                       .base = base,
+                                       .workspace = document->workspace,
+                                       .text = "",
+                                       .document = document } } };
+
+  fixture_reduce (fixture, &edit);
+}
+
+static inline Fixture
+fixture_new (uint16_t n_upstreams, GsRepeat repeat)
+{
+  GsCoreOptions options = { .self = fixture_member ("self", "d0"), .seed = 5 };
+  Fixture fixture = { .core = gs_core_new (&options),
+                      .effects = gs_effects_new (),
+                      .now_us = 1000 * GS_US_PER_S };
+  GsEvent begin = { .kind = GS_EVENT_POSITION, .position = { .from_start = true } };
+
+  fixture_reduce (&fixture, &begin);
+  fixture_edit (&fixture, 0, 0, fixture_tables (n_upstreams, repeat));
+  return fixture;
+}
+
+static inline void
+fixture_free (Fixture *fixture)
+{
+  gs_effects_free (fixture->effects);
+  gs_core_free (fixture->core);
+}
+
+/* RETURN VALUE: the first effect of KIND, or NULL. */
+static inline const GsEffect *
+fixture_find (const Fixture *fixture, GsEffectKind kind)
+{
+  for (uint32_t i = 0; i < gs_effects_count (fixture->effects); i++)
+    if (gs_effects_get (fixture->effects, i)->kind == kind)
+      return gs_effects_get (fixture->effects, i);
+  return NULL;
+}
+
+/* Sends a request. RETURN VALUE: its attempt, or 0. */
+static inline uint64_t
+fixture_request (Fixture *fixture, uint64_t request, uint64_t fingerprint)
+{
+  GsEvent event = { .kind = GS_EVENT_REQUEST,
+                    .request = { .request = request,
+                                 .host = "h",
+                                 .path = "/x",
+                                 .fingerprint = fingerprint } };
+  const GsEffect *effect;
+
+  fixture_reduce (fixture, &event);
+  effect = fixture_find (fixture, GS_EFFECT_ATTEMPT);
+  return effect != NULL ? effect->attempt.attempt : 0;
+}
+
+/* Ends an attempt. RETURN VALUE: the next attempt of its request, or 0. */
+static inline uint64_t
+fixture_end (Fixture *fixture, uint64_t attempt, GsOutcome outcome)
+{
+  GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
+                    .attempt_end
+                    = { .attempt = attempt, .outcome = outcome, .answer_us = 20 * GS_US_PER_MS } };
+  const GsEffect *effect;
+
+  fixture_reduce (fixture, &event);
+  effect = fixture_find (fixture, GS_EFFECT_ATTEMPT);
+  return effect != NULL ? effect->attempt.attempt : 0;
+}
+
+static inline void
+fixture_tick (Fixture *fixture, int64_t step_us)
+{
+  GsEvent event = { .kind = GS_EVENT_TICK };
+
+  fixture->now_us += step_us;
+  fixture_reduce (fixture, &event);
+}
+
+/* Runs the tests of one module. RETURN VALUE: exit status. */
+static inline int
+fixture_run (const char *name, const TTest *const *tests, size_t count)
+{
+  Suite *suite = suite_create (name);
+  TCase *cases = tcase_create (name);
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (cases, 0);
+  for (size_t i = 0; i < count; i++)
+    tcase_add_test (cases, tests[i]);
+  suite_add_tcase (suite, cases);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+#define FIXTURE_MAIN(name, ...)                                                                    \
+  int main (void)                                                                                  \
+  {                                                                                                \
+    static const TTest *const *const tests[] = { __VA_ARGS__ };                                    \
+    const TTest *list[G_N_ELEMENTS (tests)];                                                       \
+    for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)                                              \
+      list[i] = *tests[i];                                                                         \
+    return fixture_run (name, list, G_N_ELEMENTS (list));                                          \
+  }
+
+#endif
