--- a/src/gentian/core/fold.c
+++ b/src/gentian/core/fold.c
@@ -84,8 +84,8 @@
   const Entry *entry = g_hash_table_lookup (fold->entries, edit->workspace);
   uint64_t current = entry != NULL ? entry->revision : 0;
 
-  if (!fold->complete || offset < fold->position)
-    return GS_EDIT_IGNORED;
+  if (!fold->complete || offset != fold->position)
+    return GS_EDIT_IGNORED; /* read before, or records between are missing */
   if (entry != NULL && was_accepted (entry, edit->submission))
     return GS_EDIT_REPEATED;
   if (edit->base != current)
@@ -122,7 +122,8 @@
   else
     gs_document_free (edit->document);
   edit->document = NULL;
-  gs_fold_advance (fold, offset + 1);
+  if (result != GS_EDIT_IGNORED)
+    gs_fold_advance (fold, offset + 1);
   *revision = gs_fold_revision (fold, edit->workspace, NULL);
   return result;
 }
--- a/src/gentian/core/fold.h
+++ b/src/gentian/core/fold.h
@@ -37,7 +37,7 @@
   GS_EDIT_CLASH,     /**< a route's host and prefix belong to another workspace */
   GS_EDIT_MALFORMED, /**< the tables do not parse */
   GS_EDIT_REPEATED,  /**< the submission was accepted before */
-  GS_EDIT_IGNORED,   /**< the reader does not hold the tables before it, or has read it already */
+  GS_EDIT_IGNORED,   /**< not the next record: read already, or records before it are missing */
 } GsEditResult;
 
 /** One workspace in a copy. */
--- a/src/gentian/daemon/follower.c
+++ b/src/gentian/daemon/follower.c
@@ -176,6 +176,14 @@
           offset);
 }
 
+/* Moves the tables past a record that holds no edit. */
+static void
+pass_record (GsFollower *follower)
+{
+  if (!follower->gap)
+    post_position (follower, follower->scan, false);
+}
+
 /* RETURN VALUE: false when reading has to start anew from `scan`. */
 static bool
 take_record (GsFollower *follower, const GsLogRecord *entry)
@@ -189,6 +197,7 @@
   if (!gs_record_decode (&record, bytes, length))
     {
       refuse_record (entry->offset);
+      pass_record (follower);
       return true;
     }
   if (record.kind == GS_RECORD_EDIT)
@@ -203,7 +212,11 @@
       follower->last_snapshot_ms = MAX (follower->last_snapshot_ms, entry->written_ms);
       if (follower->gap)
         go_on = !take_chunk (follower, &record.chunk);
+      else
+        pass_record (follower);
     }
+  else
+    pass_record (follower);
   gs_record_clear (&record);
   return go_on;
 }
@@ -279,8 +292,6 @@
           break;
       more = follower->scan < page.next && page.records->len > 0;
     }
-  if (!follower->gap)
-    post_position (follower, follower->scan, false);
   gs_log_page_clear (&page);
   return more;
 }
--- /dev/null
+++ b/test/property/oracle.h
@@ -0,0 +1,386 @@
+/*
+ * Oracle of the reducer, shared by the property test and the fuzzer: drives one reducer by small
+ * commands and checks after each what must always hold:
+ *   - a request has at most one attempt under way, and exactly one end;
+ *   - "not run" is said only when no attempt of the request may have run;
+ *   - a never-repeat request, or a ticket over all its requests, has at most one attempt that may
+ * have run;
+ *   - an upstream never has more attempts than slots, and none that starts after it was seen
+ * leaving;
+ *   - ejection leaves at least the floor in rotation;
+ *   - retries stay within their budget.
+ */
+#ifndef ORACLE_H
+#define ORACLE_H
+
+#include <glib.h>
+#include <string.h>
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+#include "../../src/gentian/core/budget.h"
+#include "../../src/gentian/core/core.h"
+#ifdef __cplusplus
+}
+#endif
+
+enum
+{
+  ORACLE_UPSTREAMS = 6,
+  ORACLE_SLOTS = 2,
+  ORACLE_REQUESTS = 512,
+  ORACLE_TICKETS = 16,
+  ORACLE_FLOOR_PERCENT = 50,
+};
+
+typedef struct
+{
+  bool open;
+  uint64_t attempt; /* under way, 0: none */
+  uint16_t upstream;
+  int may_have_run; /* attempts */
+  bool never;
+  int ticket; /* index, -1: none */
+} OracleRequest;
+
+typedef struct
+{
+  GsCore *core;
+  GsEffects *effects;
+  int64_t now_us;
+  uint64_t next_request;
+  uint64_t retries;
+  OracleRequest requests[ORACLE_REQUESTS];
+  uint64_t tickets[ORACLE_TICKETS];
+  int ticket_runs[ORACLE_TICKETS];
+  bool leaving[ORACLE_UPSTREAMS];
+  int at_upstream[ORACLE_UPSTREAMS];
+  const char *broken; /* what did not hold */
+} Oracle;
+
+static inline GsDocument *
+oracle_tables (void)
+{
+  static const char *const prefixes[] = { "/safe", "/once", "/never" };
+  GsDocument *document = gs_document_new ("w", 1);
+  GsPoolRow *pool;
+
+  document->pools = g_new0 (GsPoolRow, 1);
+  document->n_pools = 1;
+  pool = &document->pools[0];
+  pool->name = g_strdup ("p");
+  pool->slots = ORACLE_SLOTS;
+  pool->floor_percent = ORACLE_FLOOR_PERCENT;
+  pool->homes = 1;
+  pool->n_upstreams = ORACLE_UPSTREAMS;
+  pool->upstreams = g_new0 (GsUpstreamRow, ORACLE_UPSTREAMS);
+  for (uint16_t i = 0; i < ORACLE_UPSTREAMS; i++)
+    {
+      pool->upstreams[i].id = g_strdup_printf ("u%u", i);
+      pool->upstreams[i].failure_domain = "d";
+      pool->upstreams[i].ipv4 = 1;
+      pool->upstreams[i].port = (uint16_t)(i + 1);
+    }
+  document->routes = g_new0 (GsRoute, 3);
+  document->n_routes = 3;
+  for (int i = 0; i < 3; i++)
+    {
+      GsRoute *route = &document->routes[i];
+      route->name = g_strdup (prefixes[i]);
+      route->host = g_strdup ("h");
+      route->prefix = g_strdup (prefixes[i]);
+      route->pool = g_strdup ("p");
+      route->repeat = (GsRepeat)i;
+      route->timeout_ms = 2000;
+      route->attempt_timeout_ms = 500;
+      route->weight = 1;
+    }
+  return document;
+}
+
+static inline void
+oracle_expect (Oracle *oracle, bool holds, const char *what)
+{
+  if (!holds && oracle->broken == NULL)
+    oracle->broken = what;
+}
+
+static inline OracleRequest *
+oracle_request (Oracle *oracle, uint64_t id)
+{
+  return &oracle->requests[id % ORACLE_REQUESTS];
+}
+
+static inline void
+oracle_attempt (Oracle *oracle, const GsAttemptEffect *effect)
+{
+  OracleRequest *request = oracle_request (oracle, effect->request);
+  uint16_t upstream = (uint16_t)(effect->port - 1);
+
+  oracle_expect (oracle, request->open, "an attempt for a request that has ended");
+  oracle_expect (oracle, request->attempt == 0, "two attempts of one request at once");
+  oracle_expect (oracle, !oracle->leaving[upstream], "new work for a leaving upstream");
+  oracle_expect (oracle, !request->never || request->may_have_run == 0,
+                 "a never-repeat request started again after it may have run");
+  if (request->ticket >= 0)
+    oracle_expect (oracle, oracle->ticket_runs[request->ticket] == 0, "a ticket dispatched twice");
+  request->attempt = effect->attempt;
+  request->upstream = upstream;
+  oracle->at_upstream[upstream]++;
+  oracle_expect (oracle, oracle->at_upstream[upstream] <= ORACLE_SLOTS, "more than the slots");
+}
+
+static inline void
+oracle_end (Oracle *oracle, uint64_t id)
+{
+  OracleRequest *request = oracle_request (oracle, id);
+
+  oracle_expect (oracle, request->open, "a second end of a request");
+  oracle_expect (oracle, request->attempt == 0, "an end while an attempt is under way");
+  request->open = false;
+}
+
+static inline void
+oracle_reject (Oracle *oracle, const GsRejectEffect *effect)
+{
+  OracleRequest *request = oracle_request (oracle, effect->request);
+
+  oracle_end (oracle, effect->request);
+  if (effect->verdict == GS_VERDICT_NOT_RUN)
+    oracle_expect (oracle, request->may_have_run == 0, "told not-run, but it may have run");
+}
+
+static inline void
+oracle_check_pool (Oracle *oracle)
+{
+  const GsPool *pool = gs_core_pool (oracle->core, "w", "p");
+  uint16_t kept_out = 0;
+
+  if (pool == NULL)
+    return;
+  for (uint16_t i = 0; i < gs_pool_size (pool); i++)
+    {
+      GsUpstreamView view;
+      gs_pool_view (pool, i, &view);
+      kept_out += view.state == GS_UPSTREAM_EJECTED || view.state == GS_UPSTREAM_TRIAL ? 1 : 0;
+      oracle_expect (oracle, (int)view.outstanding == oracle->at_upstream[i],
+                     "outstanding is miscounted");
+    }
+  oracle_expect (oracle, kept_out == 0 || gs_pool_in_rotation (pool) >= gs_pool_floor (pool),
+                 "ejection went below the floor");
+}
+
+static inline void
+oracle_reduce (Oracle *oracle, GsEvent *event)
+{
+  event->now_us = oracle->now_us;
+  gs_core_reduce (oracle->core, event, oracle->effects);
+  for (uint32_t i = 0; i < gs_effects_count (oracle->effects); i++)
+    {
+      const GsEffect *effect = gs_effects_get (oracle->effects, i);
+      if (effect->kind == GS_EFFECT_ATTEMPT)
+        oracle_attempt (oracle, &effect->attempt);
+      else if (effect->kind == GS_EFFECT_REJECT)
+        oracle_reject (oracle, &effect->reject);
+      else if (effect->kind == GS_EFFECT_ANSWER || effect->kind == GS_EFFECT_KEPT_ANSWER)
+        oracle_end (oracle, effect->answer);
+    }
+  oracle_check_pool (oracle);
+}
+
+static inline Oracle *
+oracle_new (void)
+{
+  Oracle *oracle = g_new0 (Oracle, 1);
+  GsCoreOptions options;
+  GsEvent event;
+
+  memset (&options, 0, sizeof options);
+  strcpy (options.self.id, "self");
+  strcpy (options.self.failure_domain, "d");
+  options.self.incarnation = 7;
+  options.seed = 3;
+  oracle->core = gs_core_new (&options);
+  oracle->effects = gs_effects_new ();
+  oracle->now_us = 1000 * GS_US_PER_S;
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_POSITION;
+  event.position.from_start = true;
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_EDIT;
+  event.edit.edit.submission = 1;
+  event.edit.edit.workspace = "w";
+  event.edit.edit.text = "";
+  event.edit.edit.document = oracle_tables ();
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+  return oracle;
+}
+
+static inline void
+oracle_free (Oracle *oracle)
+{
+  gs_effects_free (oracle->effects);
+  gs_core_free (oracle->core);
+  g_free (oracle);
+}
+
+static inline void
+oracle_issue (Oracle *oracle, int index)
+{
+  GsEvent event;
+
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_ENTRIES;
+  event.entries.request = UINT64_MAX;
+  event.entries.host = "h";
+  event.entries.path = "/never";
+  oracle_reduce (oracle, &event);
+  for (uint32_t i = 0; i < gs_effects_count (oracle->effects); i++)
+    if (gs_effects_get (oracle->effects, i)->kind == GS_EFFECT_ENTRIES)
+      oracle->tickets[index] = gs_effects_get (oracle->effects, i)->entries.ticket;
+  oracle->ticket_runs[index] = 0;
+  gs_effects_clear (oracle->effects);
+}
+
+static inline void
+oracle_send (Oracle *oracle, int route, int ticket, uint64_t fingerprint)
+{
+  static const char *const paths[] = { "/safe", "/once", "/never" };
+  uint64_t id = ++oracle->next_request;
+  OracleRequest *request = oracle_request (oracle, id);
+  GsEvent event;
+
+  if (request->open)
+    return;
+  *request = (OracleRequest){ true, 0, 0, 0, route == GS_REPEAT_NEVER, ticket };
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_REQUEST;
+  event.request.request = id;
+  event.request.host = "h";
+  event.request.path = paths[route];
+  event.request.fingerprint = fingerprint;
+  if (ticket >= 0)
+    {
+      event.request.right.kind = GS_RIGHT_TICKET;
+      strcpy (event.request.right.issuer, "self");
+      event.request.right.incarnation = 7;
+      event.request.right.number = oracle->tickets[ticket];
+    }
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+}
+
+/* Ends the attempt under way of one of the open requests. */
+static inline void
+oracle_finish (Oracle *oracle, unsigned choice, GsOutcome outcome)
+{
+  OracleRequest *request = NULL;
+  GsEvent event;
+
+  for (unsigned i = 0; i < ORACLE_REQUESTS && request == NULL; i++)
+    if (oracle->requests[(choice + i) % ORACLE_REQUESTS].attempt != 0)
+      request = &oracle->requests[(choice + i) % ORACLE_REQUESTS];
+  if (request == NULL)
+    return;
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_ATTEMPT_END;
+  event.attempt_end.attempt = request->attempt;
+  event.attempt_end.outcome = outcome;
+  event.attempt_end.answer_us = 20000;
+  request->attempt = 0;
+  oracle->at_upstream[request->upstream]--;
+  if (gs_outcome_verdict (outcome) != GS_VERDICT_NOT_RUN)
+    {
+      request->may_have_run++;
+      if (request->ticket >= 0)
+        oracle->ticket_runs[request->ticket]++;
+    }
+  if (outcome == GS_OUTCOME_LEAVING)
+    oracle->leaving[request->upstream] = true;
+  if (outcome == GS_OUTCOME_CANCELLED)
+    request->open = false;
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+}
+
+static inline void
+oracle_pass_time (Oracle *oracle, int64_t step_us)
+{
+  GsEvent event;
+
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_TICK;
+  oracle->now_us += step_us;
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+}
+
+static inline void
+oracle_evidence (Oracle *oracle, int upstream, double score)
+{
+  GsEvent event;
+
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_EVIDENCE;
+  strcpy (event.evidence.from, "self");
+  event.evidence.pool = gs_core_pool_key ("w", "p");
+  g_snprintf (event.evidence.upstream, sizeof event.evidence.upstream, "u%d", upstream);
+  event.evidence.score_nats = score;
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+}
+
+static inline void
+oracle_sign (Oracle *oracle, int upstream)
+{
+  GsEvent event;
+
+  memset (&event, 0, sizeof event);
+  event.kind = GS_EVENT_UPSTREAM_SIGN;
+  event.sign.leaving = true;
+  g_snprintf (event.sign.upstream, sizeof event.sign.upstream, "u%d", upstream);
+  if (gs_core_pool (oracle->core, "w", "p") != NULL)
+    oracle->leaving[upstream] = true;
+  oracle_reduce (oracle, &event);
+  gs_effects_clear (oracle->effects);
+}
+
+/* One command from two bytes: what to do, and with what. */
+static inline void
+oracle_command (Oracle *oracle, uint8_t what, uint8_t with)
+{
+  switch (what % 8)
+    {
+    case 0:
+    case 1:
+      oracle_send (oracle, with % 3, -1, with % 16);
+      break;
+    case 2:
+      oracle_send (oracle, GS_REPEAT_NEVER, with % ORACLE_TICKETS, 100 + with % ORACLE_TICKETS);
+      break;
+    case 3:
+    case 4:
+      oracle_finish (oracle, with, (GsOutcome)((what / 8 + with) % GS_OUTCOME_COUNT));
+      break;
+    case 5:
+      oracle_finish (oracle, with, GS_OUTCOME_OK);
+      break;
+    case 6:
+      oracle_pass_time (oracle, (int64_t)with * with * 50);
+      break;
+    default:
+      if (with < 3)
+        oracle_sign (oracle, with);
+      else if (with < 128)
+        oracle_evidence (oracle, with % ORACLE_UPSTREAMS, with);
+      else
+        oracle_finish (oracle, with, GS_OUTCOME_ERROR);
+    }
+}
+
+#endif
--- /dev/null
+++ b/test/property/prop_claim.cpp
@@ -0,0 +1,289 @@
+// Stateful property of never-repeat keys: several daemons' real reducers over one log that loses
+// answers, repeats and delays records, forgets old ones and has its own clock; daemons crash
+// between any two steps and come back with nothing. The oracle counts runs: never more than one a
+// key, and "not run" is always true.
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <glib.h>
+#include <map>
+#include <vector>
+
+extern "C"
+{
+#include "../../src/gentian/core/core.h"
+}
+#include "oracle.h"
+
+namespace
+{
+constexpr int Daemons = 3;
+constexpr int64_t Retention = 40000;
+
+struct LogEntry
+{
+  int64_t written_ms;
+  GsClaimRecord record;
+};
+
+struct Sent
+{
+  int daemon;
+  uint64_t request;
+  std::string key;
+  int64_t fingerprint;
+};
+
+struct Attempt
+{
+  int daemon;
+  uint64_t attempt;
+  uint64_t request;
+  std::string key;
+};
+
+struct World
+{
+  GsCore *cores[Daemons] = {};
+  size_t read[Daemons] = {};
+  uint64_t incarnation[Daemons] = {};
+  GsEffects *effects = gs_effects_new ();
+  std::vector<LogEntry> log;
+  size_t first = 0;
+  std::vector<std::pair<int, GsClaimRecord> >
+      pending; // appends that may take effect any time later
+  std::vector<Attempt> attempts;
+  std::map<std::string, int> runs;
+  std::map<std::pair<int, uint64_t>, std::string> open;
+  std::map<std::pair<int, uint64_t>, int> request_runs;
+  int64_t log_ms = 1000000;
+  int64_t now_us = 1000 * GS_US_PER_S;
+  uint64_t next_request = 0;
+  uint64_t next_incarnation = 0;
+
+  World ()
+  {
+    for (int i = 0; i < Daemons; i++)
+      start (i);
+  }
+
+  ~World ()
+  {
+    for (GsCore *core : cores)
+      gs_core_free (core);
+    gs_effects_free (effects);
+  }
+
+  void start (int daemon)
+  {
+    GsCoreOptions options = {};
+    GsEvent begin = {};
+    GsEvent edit = {};
+    gs_core_free (cores[daemon]);
+    strcpy (options.self.id, ("m" + std::to_string (daemon)).c_str ());
+    strcpy (options.self.failure_domain, "d");
+    options.self.incarnation = ++next_incarnation;
+    options.seed = next_incarnation;
+    cores[daemon] = gs_core_new (&options);
+    read[daemon] = 0;
+    begin.kind = GS_EVENT_POSITION;
+    begin.position.from_start = true;
+    reduce (daemon, begin);
+    edit.kind = GS_EVENT_EDIT;
+    edit.edit.edit.submission = 1;
+    edit.edit.edit.workspace = "w";
+    edit.edit.edit.text = "";
+    edit.edit.edit.document = oracle_tables ();
+    reduce (daemon, edit);
+    for (auto it = open.begin (); it != open.end ();)
+      it = it->first.first == daemon ? open.erase (it) : std::next (it);
+    std::vector<Attempt> left;
+    for (const Attempt &attempt : attempts)
+      if (attempt.daemon != daemon)
+        left.push_back (attempt);
+    attempts = left;
+  }
+
+  void expire ()
+  {
+    while (first < log.size () && log_ms - log[first].written_ms > Retention)
+      first++;
+  }
+
+  void reduce (int daemon, GsEvent &event)
+  {
+    event.now_us = now_us;
+    gs_effects_clear (effects);
+    gs_core_reduce (cores[daemon], &event, effects);
+    for (uint32_t i = 0; i < gs_effects_count (effects); i++)
+      carry_out (daemon, gs_effects_get (effects, i));
+  }
+
+  void carry_out (int daemon, const GsEffect *effect)
+  {
+    if (effect->kind == GS_EFFECT_APPEND_CLAIM)
+      pending.push_back ({ daemon, effect->claim });
+    else if (effect->kind == GS_EFFECT_ATTEMPT)
+      {
+        std::string key = open[{ daemon, effect->attempt.request }];
+        attempts.push_back ({ daemon, effect->attempt.attempt, effect->attempt.request, key });
+      }
+    else if (effect->kind == GS_EFFECT_REJECT)
+      {
+        if (effect->reject.verdict == GS_VERDICT_NOT_RUN)
+          RC_ASSERT ((request_runs[{ daemon, effect->reject.request }]) == 0);
+        open.erase ({ daemon, effect->reject.request });
+      }
+  }
+
+  void send (int daemon, const std::string &key)
+  {
+    GsEvent event = {};
+    uint64_t id = ++next_request;
+    open[{ daemon, id }] = key;
+    event.kind = GS_EVENT_REQUEST;
+    event.request.request = id;
+    event.request.host = "h";
+    event.request.path = "/never";
+    event.request.fingerprint = 1;
+    event.request.hop = true;
+    event.request.right.kind = GS_RIGHT_KEY;
+    event.request.right.key = key.c_str ();
+    reduce (daemon, event);
+  }
+
+  // An append takes effect now; it stays pending when its answer is lost and it is sent again.
+  void append (size_t index, bool again)
+  {
+    log.push_back ({ log_ms, pending[index].second });
+    if (!again)
+      pending.erase (pending.begin () + (long)index);
+  }
+
+  void refuse_append (size_t index)
+  {
+    GsEvent event = {};
+    event.kind = GS_EVENT_APPEND_FAILED;
+    event.append_failed.claim = pending[index].second.claim;
+    event.append_failed.certain = true;
+    int daemon = pending[index].first;
+    if (pending[index].second.kind != GS_CLAIM_TAKE)
+      return;
+    pending.erase (pending.begin () + (long)index);
+    reduce (daemon, event);
+  }
+
+  // Reads on in the log as the follower does: from the oldest retained record, telling what is
+  // covered.
+  void read_log (int daemon, int records)
+  {
+    expire ();
+    bool lost = read[daemon] < first;
+    if (lost || read[daemon] == 0)
+      cover (daemon, false);
+    read[daemon] = std::max (read[daemon], first);
+    for (int i = 0; i < records && read[daemon] < log.size (); i++)
+      {
+        GsEvent event = {};
+        const LogEntry &entry = log[read[daemon]++];
+        event.kind = GS_EVENT_CLAIM;
+        event.claim.partition = gs_key_partition (&entry.record.key);
+        event.claim.log_ms = entry.written_ms;
+        event.claim.record = entry.record;
+        reduce (daemon, event);
+      }
+    if (read[daemon] == log.size ())
+      cover (daemon, true);
+  }
+
+  void cover (int daemon, bool caught_up)
+  {
+    for (uint32_t i = 0; i < GS_CLAIM_PARTITIONS; i++)
+      {
+        GsEvent event = {};
+        event.kind = GS_EVENT_CLAIM_COVERED;
+        event.claim_covered.partition = i;
+        event.claim_covered.from_ms = first == 0 ? 0 : log_ms - Retention;
+        event.claim_covered.log_now_ms = log_ms;
+        event.claim_covered.retention_ms = Retention;
+        event.claim_covered.caught_up = caught_up;
+        reduce (daemon, event);
+      }
+  }
+
+  void finish (size_t index, GsOutcome outcome)
+  {
+    Attempt attempt = attempts[index];
+    GsEvent event = {};
+    attempts.erase (attempts.begin () + (long)index);
+    if (gs_outcome_verdict (outcome) != GS_VERDICT_NOT_RUN)
+      {
+        RC_ASSERT (++runs[attempt.key] == 1);
+        request_runs[{ attempt.daemon, attempt.request }]++;
+      }
+    event.kind = GS_EVENT_ATTEMPT_END;
+    event.attempt_end.attempt = attempt.attempt;
+    event.attempt_end.outcome = outcome;
+    reduce (attempt.daemon, event);
+  }
+};
+
+struct Model
+{
+};
+
+struct Step : rc::state::Command<Model, World>
+{
+  int what = *rc::gen::inRange (0, 20);
+  int daemon = *rc::gen::inRange (0, Daemons);
+  int with = *rc::gen::inRange (0, 1000);
+
+  // Keys whose own time is now, slightly off, or far off the log's clock.
+  std::string key (const World &world) const
+  {
+    static const int64_t skews[] = { 0, 0, 0, 3000, -3000, 9000, -9000, -60000, 60000 };
+    int64_t base = 1000000 + (world.log_ms - 1000000) / 20000 * 20000;
+    return std::to_string (base + skews[with % 9]) + "-k" + std::to_string (with % 2);
+  }
+
+  void run (const Model &, World &world) const override
+  {
+    if (what < 5)
+      world.send (daemon, key (world));
+    else if (what < 9 && !world.pending.empty ())
+      world.append ((size_t)with % world.pending.size (), with % 7 == 0);
+    else if (what == 9 && !world.pending.empty ())
+      world.refuse_append ((size_t)with % world.pending.size ());
+    else if (what < 14)
+      world.read_log (daemon, 1 + with % 4);
+    else if (what < 17 && !world.attempts.empty ())
+      world.finish ((size_t)with % world.attempts.size (),
+                    (GsOutcome)(with % (GS_OUTCOME_COUNT - 1)));
+    else if (what == 17)
+      world.start (daemon);
+    else
+      {
+        GsEvent tick = {};
+        tick.kind = GS_EVENT_TICK;
+        world.now_us += with * (what == 18 ? 1000 : 5000);
+        world.log_ms += with * (what == 18 ? 1 : 40);
+        world.reduce (daemon, tick);
+      }
+  }
+
+  void show (std::ostream &os) const override
+  {
+    os << "step " << what << " daemon " << daemon << " with " << with;
+  }
+};
+}
+
+int
+main ()
+{
+  bool ok = rc::check ("a key runs at most once, and not-run is true", [] {
+    World world;
+    rc::state::check (Model (), world, rc::state::gen::execOneOfWithArgs<Step> ());
+  });
+  return ok ? 0 : 1;
+}
--- /dev/null
+++ b/test/property/prop_fold.cpp
@@ -0,0 +1,142 @@
+// Property: readers of one log agree, whatever they miss, read twice or take from each other, and
+// no reader's revision ever falls.
+#include <rapidcheck.h>
+
+#include <glib.h>
+#include <map>
+
+extern "C"
+{
+#include "../../src/gentian/core/fold.h"
+}
+
+namespace
+{
+struct LogEdit
+{
+  uint64_t submission;
+  int workspace;
+  uint64_t base;
+};
+
+struct Reader
+{
+  GsTable *table = gs_table_new ();
+  GsFold *fold = gs_fold_new (table);
+  std::map<std::string, uint64_t> seen;
+
+  ~Reader ()
+  {
+    gs_fold_free (fold);
+    gs_table_free (table);
+  }
+
+  void watch ()
+  {
+    for (int w = 0; w < 3; w++)
+      {
+        std::string name = "w" + std::to_string (w);
+        uint64_t revision = gs_fold_revision (fold, name.c_str (), nullptr);
+        RC_ASSERT (revision >= seen[name]);
+        seen[name] = revision;
+      }
+  }
+
+  void read (const std::vector<LogEdit> &log, uint64_t offset)
+  {
+    std::string name = "w" + std::to_string (log[offset].workspace);
+    GsEdit edit = {};
+    uint64_t revision;
+    edit.submission = log[offset].submission;
+    edit.base = log[offset].base;
+    edit.workspace = name.c_str ();
+    edit.text = "t";
+    edit.document = gs_document_new (name.c_str (), 0);
+    gs_fold_edit (fold, offset, &edit, &revision);
+    watch ();
+  }
+};
+
+void
+take_entry (const GsCopyEntry *entry, void *data)
+{
+  gs_fold_take (static_cast<GsFold *> (data), entry, gs_document_new (entry->workspace, 0));
+}
+
+void
+copy (Reader &from, Reader &to, uint64_t above)
+{
+  if (!gs_fold_complete (from.fold)
+      || !gs_fold_may_take (to.fold, above, gs_fold_position (from.fold)))
+    return;
+  gs_fold_copy (from.fold, above, take_entry, to.fold);
+  gs_fold_taken (to.fold, gs_fold_position (from.fold));
+  to.watch ();
+}
+
+// A log whose bases are often right: the base is a revision that some earlier edit may have made.
+std::vector<LogEdit>
+make_log ()
+{
+  std::vector<LogEdit> log;
+  uint64_t last[3] = { 0, 0, 0 };
+  int length = *rc::gen::inRange (1, 40);
+  for (int i = 0; i < length; i++)
+    {
+      LogEdit edit;
+      edit.workspace = *rc::gen::inRange (0, 3);
+      edit.submission = *rc::gen::inRange<uint64_t> (1, 30);
+      edit.base = *rc::gen::inRange (0, 3) > 0 ? last[edit.workspace]
+                                               : *rc::gen::inRange<uint64_t> (0, 40);
+      if (edit.base == last[edit.workspace])
+        last[edit.workspace] = (uint64_t)i + 1;
+      log.push_back (edit);
+    }
+  return log;
+}
+}
+
+int
+main ()
+{
+  bool ok = rc::check ("readers agree and never go back", [] {
+    std::vector<LogEdit> log = make_log ();
+    Reader whole;
+    Reader others[3];
+    gs_fold_begin (whole.fold, 0);
+    gs_fold_begin (others[0].fold, 0);
+    uint64_t next[3] = { 0, 0, 0 };
+    int steps = *rc::gen::inRange (0, 120);
+    for (int i = 0; i < steps; i++)
+      {
+        int reader = *rc::gen::inRange (0, 3);
+        int action = *rc::gen::inRange (0, 10);
+        if (action < 6 && next[reader] < log.size ())
+          {
+            uint64_t position = gs_fold_position (others[reader].fold);
+            if (gs_fold_complete (others[reader].fold) && position > next[reader])
+              next[reader] = position;
+            if (next[reader] < log.size ())
+              others[reader].read (log, next[reader]++);
+          }
+        else if (action < 8 && next[reader] > 0)
+          others[reader].read (log, *rc::gen::inRange<uint64_t> (0, next[reader]));
+        else
+          copy (others[*rc::gen::inRange (0, 3)], others[reader],
+                *rc::gen::inRange (0, 2) == 0 ? 0 : gs_fold_position (others[reader].fold));
+      }
+    for (uint64_t i = 0; i < log.size (); i++)
+      {
+        whole.read (log, i);
+        for (Reader &other : others)
+          if (gs_fold_complete (other.fold) && gs_fold_position (other.fold) == i + 1)
+            for (int w = 0; w < 3; w++)
+              {
+                std::string name = "w" + std::to_string (w);
+                RC_ASSERT (gs_fold_revision (other.fold, name.c_str (), nullptr)
+                           == gs_fold_revision (whole.fold, name.c_str (), nullptr));
+              }
+      }
+  });
+  return ok ? 0 : 1;
+}
--- a/test/unit/fixture.h
+++ b/test/unit/fixture.h
@@ -19,7 +19,8 @@
 static inline GsMemberFact
 fixture_member (const char *id, const char *domain)
 {
-  GsMemberFact fact = { .ipv4 = 1, .entry_port = 80, .peer_port = 90, .incarnation = 7, .ready = 1 };
+  GsMemberFact fact
+      = { .ipv4 = 1, .entry_port = 80, .peer_port = 90, .incarnation = 7, .ready = 1 };
 
   g_strlcpy (fact.id, id, sizeof fact.id);
   g_strlcpy (fact.failure_domain, domain, sizeof fact.failure_domain);
@@ -114,11 +115,10 @@
 static inline uint64_t
 fixture_request (Fixture *fixture, uint64_t request, uint64_t fingerprint)
 {
-  GsEvent event = { .kind = GS_EVENT_REQUEST,
-                    .request = { .request = request,
-                                 .host = "h",
-                                 .path = "/x",
-                                 .fingerprint = fingerprint } };
+  GsEvent event
+      = { .kind = GS_EVENT_REQUEST,
+          .request
+          = { .request = request, .host = "h", .path = "/x", .fingerprint = fingerprint } };
   const GsEffect *effect;
 
   fixture_reduce (fixture, &event);
--- a/test/unit/test_claim.c
+++ b/test/unit/test_claim.c
@@ -146,7 +146,13 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("claim", &first_claim_wins, &release_frees_and_late_copies_do_not_take_again,
-              &done_stays, &old_keys_are_stale, &a_reader_that_knows_too_little_wins_nothing,
-              &prune_keeps_what_counts, &keys_parse_or_are_refused, &tickets_are_used_once,
+FIXTURE_MAIN ("claim",
+              &first_claim_wins,
+              &release_frees_and_late_copies_do_not_take_again,
+              &done_stays,
+              &old_keys_are_stale,
+              &a_reader_that_knows_too_little_wins_nothing,
+              &prune_keeps_what_counts,
+              &keys_parse_or_are_refused,
+              &tickets_are_used_once,
               &expired_tickets_are_not_used)
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -152,8 +152,8 @@
 static uint64_t
 issue (Fixture *fixture)
 {
-  GsEvent event = { .kind = GS_EVENT_ENTRIES,
-                    .entries = { .request = 99, .host = "h", .path = "/x" } };
+  GsEvent event
+      = { .kind = GS_EVENT_ENTRIES, .entries = { .request = 99, .host = "h", .path = "/x" } };
 
   fixture_tick (fixture, 0);
   fixture_reduce (fixture, &event);
@@ -301,8 +301,7 @@
   ck_assert_int_eq (rejection (&fixture)->verdict, GS_VERDICT_MAY_HAVE_RUN);
   read_back (&fixture, &take);
   ck_assert_ptr_null (fixture_find (&fixture, GS_EFFECT_ATTEMPT));
-  ck_assert_int_eq (fixture_find (&fixture, GS_EFFECT_APPEND_CLAIM)->claim.kind,
-                    GS_CLAIM_RELEASE);
+  ck_assert_int_eq (fixture_find (&fixture, GS_EFFECT_APPEND_CLAIM)->claim.kind, GS_CLAIM_RELEASE);
   fixture_free (&fixture);
 }
 END_TEST
@@ -401,14 +400,24 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("core", &answer_is_passed_on, &an_attempt_ends_once,
-              &safe_requests_are_retried_elsewhere, &uncertain_requests_are_not_repeated,
-              &not_run_is_retried_for_every_route, &an_uncertain_attempt_is_never_forgotten,
-              &hopeless_deadlines_are_refused_at_once, &unknown_routes_and_missing_tables,
-              &a_ticket_runs_once, &a_ticket_that_did_not_run_may_be_used_again,
+FIXTURE_MAIN ("core",
+              &answer_is_passed_on,
+              &an_attempt_ends_once,
+              &safe_requests_are_retried_elsewhere,
+              &uncertain_requests_are_not_repeated,
+              &not_run_is_retried_for_every_route,
+              &an_uncertain_attempt_is_never_forgotten,
+              &hopeless_deadlines_are_refused_at_once,
+              &unknown_routes_and_missing_tables,
+              &a_ticket_runs_once,
+              &a_ticket_that_did_not_run_may_be_used_again,
               &another_incarnations_ticket_never_runs,
-              &a_key_is_dispatched_only_after_it_was_read_back, &a_lost_claim_is_not_dispatched,
-              &a_log_that_is_away_means_not_run, &an_unsettled_claim_is_given_back_when_it_appears,
-              &not_run_waits_for_the_release, &a_crashing_request_is_refused_after_two,
-              &requests_that_only_shared_a_crash_go_on, &a_late_caller_leaves_nothing_behind,
+              &a_key_is_dispatched_only_after_it_was_read_back,
+              &a_lost_claim_is_not_dispatched,
+              &a_log_that_is_away_means_not_run,
+              &an_unsettled_claim_is_given_back_when_it_appears,
+              &not_run_waits_for_the_release,
+              &a_crashing_request_is_refused_after_two,
+              &requests_that_only_shared_a_crash_go_on,
+              &a_late_caller_leaves_nothing_behind,
               &same_seed_same_effects)
--- a/test/unit/test_crash.c
+++ b/test/unit/test_crash.c
@@ -36,8 +36,8 @@
     gs_crashes_suspect (crashes, i, i, (int64_t)i);
   ck_assert_uint_eq (gs_crashes_count (crashes, 1, 2000), 0);
   ck_assert_uint_eq (gs_crashes_count (crashes, 2 * GS_CRASH_SUSPECTS_MAX, 2000), 1);
-  ck_assert_uint_eq (
-      gs_crashes_count (crashes, 2 * GS_CRASH_SUSPECTS_MAX, 2 * GS_CRASH_MEMORY_US), 0);
+  ck_assert_uint_eq (gs_crashes_count (crashes, 2 * GS_CRASH_SUSPECTS_MAX, 2 * GS_CRASH_MEMORY_US),
+                     0);
   gs_crashes_free (crashes);
 }
 END_TEST
--- a/test/unit/test_detector.c
+++ b/test/unit/test_detector.c
@@ -17,8 +17,7 @@
 static GsDetector *
 trained (GsCost cost)
 {
-  GsDetector *detector
-      = gs_detector_new (&(GsDetectorOptions){ .n_upstreams = 6, .cost = cost });
+  GsDetector *detector = gs_detector_new (&(GsDetectorOptions){ .n_upstreams = 6, .cost = cost });
 
   for (int i = 0; i < 3000; i++)
     feed (detector, (uint16_t)(i % 6), 0.002, 20000);
@@ -150,7 +149,11 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("detector", &samples_close_to_wald_for_errors, &samples_close_to_wald_for_slowness,
-              &healthy_upstreams_are_not_accused, &trial_clears_a_healthy_upstream,
-              &trial_fails_a_failing_upstream, &no_reference_no_slowness,
+FIXTURE_MAIN ("detector",
+              &samples_close_to_wald_for_errors,
+              &samples_close_to_wald_for_slowness,
+              &healthy_upstreams_are_not_accused,
+              &trial_clears_a_healthy_upstream,
+              &trial_fails_a_failing_upstream,
+              &no_reference_no_slowness,
               &provisional_sample_is_not_counted_twice)
--- /dev/null
+++ b/test/unit/test_docs.c
@@ -0,0 +1,106 @@
+/* Holds the catalogues and references in docs/ against the code, both ways. */
+#include "../../src/gentian/config/settings.h"
+#include "../../src/gentian/config/tables.h"
+#include "../../src/gentian/http/kept.h"
+#include "../../src/gentian/log/counter.h"
+#include "../../src/gentian/log/log.h"
+#include "fixture.h"
+
+static char *
+read_doc (const char *path)
+{
+  char *text = NULL;
+
+  ck_assert_msg (g_file_get_contents (path, &text, NULL, NULL), "%s cannot be read", path);
+  return text;
+}
+
+START_TEST (every_event_is_in_the_catalogue)
+{
+  g_autofree char *text = read_doc ("docs/operators/EVENTS.md");
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  static const int numbers[] = {
+#define NUMBER(symbol, number, level, name) number,
+    GS_NOTICES (NUMBER)
+#undef NUMBER
+  };
+  size_t rows = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      g_autofree char *row
+          = g_strdup_printf ("| GS%d | %s |", numbers[i], gs_log_name ((GsNotice)numbers[i]));
+      ck_assert_msg (strstr (text, row) != NULL, "no row %s", row);
+    }
+  for (int i = 0; lines[i] != NULL; i++)
+    rows += g_str_has_prefix (lines[i], "| GS") ? 1 : 0;
+  ck_assert_uint_eq (rows, G_N_ELEMENTS (numbers));
+}
+END_TEST
+
+START_TEST (every_counter_is_in_the_catalogue)
+{
+  g_autofree char *text = read_doc ("docs/operators/METRICS.md");
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  size_t rows = 0;
+
+  for (int i = 0; i < GS_COUNTER_COUNT; i++)
+    {
+      g_autofree char *row = g_strdup_printf ("| `%s` |", gs_counter_name ((GsCounter)i));
+      ck_assert_msg (strstr (text, row) != NULL, "no row %s", row);
+    }
+  for (int i = 0; lines[i] != NULL; i++)
+    rows += g_str_has_prefix (lines[i], "| `gentian_") ? 1 : 0;
+  ck_assert_uint_eq (rows, GS_COUNTER_COUNT);
+}
+END_TEST
+
+START_TEST (references_are_current)
+{
+  g_autofree char *settings = gs_settings_reference ();
+  g_autofree char *tables = gs_tables_reference ();
+  g_autofree char *settings_doc = read_doc ("docs/operators/SETTINGS.md");
+  g_autofree char *tables_doc = read_doc ("docs/operators/TABLES.md");
+
+  ck_assert_msg (strstr (settings_doc, settings) != NULL, "run: gentianctl reference settings");
+  ck_assert_msg (strstr (tables_doc, tables) != NULL, "run: gentianctl reference tables");
+}
+END_TEST
+
+START_TEST (counters_render)
+{
+  g_autofree char *text = NULL;
+
+  gs_counter_add (GS_COUNTER_REQUESTS, 3);
+  text = gs_counter_render ();
+  ck_assert (strstr (text, "\ngentian_requests_total 3\n") != NULL);
+}
+END_TEST
+
+START_TEST (kept_answers_are_bounded)
+{
+  GsKept *kept = gs_kept_new (4000);
+  GsKeptAnswer answer = { .fingerprint = 1, .status = 200 };
+  GsKeptAnswer back;
+
+  for (int i = 0; i < 20; i++)
+    {
+      g_autofree char *right = g_strdup_printf ("r%d", i);
+      answer.headers = g_ptr_array_new_with_free_func (g_free);
+      answer.body = g_bytes_new_take (g_malloc0 (500), 500);
+      gs_kept_put (kept, right, &answer);
+      gs_kept_answer_clear (&answer);
+    }
+  ck_assert (!gs_kept_get (kept, "r0", &back));
+  ck_assert (gs_kept_get (kept, "r19", &back));
+  gs_kept_answer_clear (&back);
+  gs_kept_free (kept);
+}
+END_TEST
+
+FIXTURE_MAIN ("docs",
+              &every_event_is_in_the_catalogue,
+              &every_counter_is_in_the_catalogue,
+              &references_are_current,
+              &counters_render,
+              &kept_answers_are_bounded)
--- a/test/unit/test_fold.c
+++ b/test/unit/test_fold.c
@@ -81,6 +81,7 @@
   ck_assert_int_eq (edit (&log, 5, 1, 0, "w"), GS_EDIT_IGNORED);
   gs_fold_begin (log.fold, 6);
   ck_assert_int_eq (edit (&log, 5, 1, 0, "w"), GS_EDIT_IGNORED);
+  ck_assert_int_eq (edit (&log, 7, 1, 0, "w"), GS_EDIT_IGNORED);
   ck_assert_int_eq (edit (&log, 6, 1, 0, "w"), GS_EDIT_ACCEPTED);
   log_free (&log);
 }
@@ -126,6 +127,10 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("fold", &of_two_editors_one_wins, &a_submission_counts_once,
-              &another_workspaces_route_is_refused, &replays_and_incomplete_readers_judge_nothing,
-              &a_copy_carries_everything, &a_stale_copy_reverts_nothing)
+FIXTURE_MAIN ("fold",
+              &of_two_editors_one_wins,
+              &a_submission_counts_once,
+              &another_workspaces_route_is_refused,
+              &replays_and_incomplete_readers_judge_nothing,
+              &a_copy_carries_everything,
+              &a_stale_copy_reverts_nothing)
--- /dev/null
+++ b/test/unit/test_member.c
@@ -0,0 +1,275 @@
+/* Unit tests of core/member: a few members joined by an in-memory network with cuts. */
+#include "fixture.h"
+
+enum
+{
+  NODES = 12
+};
+
+typedef struct
+{
+  GsMembers *members[NODES];
+  GQueue wire; /* of Letter */
+  bool dead[NODES];
+  bool cut[NODES][NODES]; /* from, to */
+  int64_t now_us;
+  int sender;
+  uint64_t sent[NODES];
+} Net;
+
+typedef struct
+{
+  int from;
+  int to;
+  GsProbe probe;
+} Letter;
+
+typedef struct
+{
+  Net *net;
+  int index;
+} Node;
+
+static Node nodes[NODES];
+
+static void
+take (const GsPeerAddress *to, const GsProbe *probe, void *data)
+{
+  Node *node = data;
+  Letter *letter = g_new0 (Letter, 1);
+
+  node->net->sent[node->index]++;
+  *letter = (Letter){ .from = node->index, .to = (int)to->ipv4 - 1, .probe = *probe };
+  g_queue_push_tail (&node->net->wire, letter);
+}
+
+static GsMemberFact
+fact_of (int index)
+{
+  char id[16];
+  char domain[16];
+  GsMemberFact fact;
+
+  g_snprintf (id, sizeof id, "n%02d", index);
+  g_snprintf (domain, sizeof domain, "d%d", index % 3);
+  fact = fixture_member (id, domain);
+  fact.ipv4 = (uint32_t)index + 1;
+  fact.ready = 0;
+  return fact;
+}
+
+static void
+start (Net *net, int index)
+{
+  nodes[index] = (Node){ net, index };
+  net->members[index] = gs_members_new (&(GsMembersOptions){
+      .self = fact_of (index), .seed = (uint64_t)index, .sink = take, .data = &nodes[index] });
+  gs_members_set_ready (net->members[index], true);
+  if (index > 0)
+    gs_members_join (net->members[index], &(GsPeerAddress){ .ipv4 = 1, .peer_port = 90 });
+}
+
+static void
+deliver (Net *net)
+{
+  guint count = net->wire.length;
+
+  while (count-- > 0)
+    {
+      Letter *letter = g_queue_pop_head (&net->wire);
+      if (!net->dead[letter->to] && !net->dead[letter->from] && !net->cut[letter->from][letter->to])
+        gs_members_receive (net->members[letter->to], &letter->probe, net->now_us);
+      g_free (letter->probe.facts);
+      g_free (letter);
+    }
+}
+
+static void
+run (Net *net, int64_t time_us)
+{
+  for (int64_t end_us = net->now_us + time_us; net->now_us < end_us;
+       net->now_us += 10 * GS_US_PER_MS)
+    {
+      for (int i = 0; i < NODES; i++)
+        if (!net->dead[i])
+          gs_members_tick (net->members[i], net->now_us);
+      deliver (net);
+      deliver (net);
+    }
+}
+
+static void
+open_net (Net *net)
+{
+  memset (net, 0, sizeof *net);
+  net->now_us = GS_US_PER_S;
+  for (int i = 0; i < NODES; i++)
+    start (net, i);
+  run (net, 10 * GS_US_PER_S);
+}
+
+static void
+close_net (Net *net)
+{
+  Letter *letter;
+
+  while ((letter = g_queue_pop_head (&net->wire)) != NULL)
+    {
+      g_free (letter->probe.facts);
+      g_free (letter);
+    }
+  for (int i = 0; i < NODES; i++)
+    gs_members_free (net->members[i]);
+}
+
+static int
+views_of (const Net *net, int target, GsMemberState state)
+{
+  int count = 0;
+
+  for (int i = 0; i < NODES; i++)
+    {
+      const GsMemberFact *fact = gs_members_find (net->members[i], fact_of (target).id);
+      count += !net->dead[i] && i != target && fact != NULL && fact->state == state ? 1 : 0;
+    }
+  return count;
+}
+
+START_TEST (all_find_each_other)
+{
+  Net net;
+
+  open_net (&net);
+  for (int i = 0; i < NODES; i++)
+    ck_assert_uint_eq (gs_members_count (net.members[i]), NODES);
+  for (int i = 0; i < NODES; i++)
+    ck_assert_int_eq (views_of (&net, i, GS_MEMBER_ALIVE), NODES - 1);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (a_dead_member_is_not_named_after_3_s)
+{
+  Net net;
+  uint32_t homes[NODES];
+
+  open_net (&net);
+  net.dead[5] = true;
+  run (&net, 3 * GS_US_PER_S);
+  for (int i = 0; i < NODES; i++)
+    {
+      uint32_t count = i == 5 ? 0 : gs_members_homes (net.members[i], 77, NODES, homes);
+      for (uint32_t j = 0; j < count; j++)
+        ck_assert_str_ne (gs_members_get (net.members[i], homes[j])->id, "n05");
+    }
+  run (&net, 6 * GS_US_PER_S);
+  ck_assert_int_eq (views_of (&net, 5, GS_MEMBER_DEAD), NODES - 1);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (a_cut_between_two_removes_nobody)
+{
+  Net net;
+
+  open_net (&net);
+  for (int i = 0; i < NODES; i++)
+    for (int j = 0; j < NODES; j++)
+      net.cut[i][j] = i + 1 == j;
+  run (&net, 30 * GS_US_PER_S);
+  for (int i = 0; i < NODES; i++)
+    ck_assert_int_eq (views_of (&net, i, GS_MEMBER_ALIVE), NODES - 1);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (one_that_hears_nothing_accuses_nobody)
+{
+  Net net;
+
+  open_net (&net);
+  for (int i = 0; i < NODES; i++)
+    net.cut[i][3] = true;
+  run (&net, 10 * GS_US_PER_S);
+  ck_assert (gs_members_isolated (net.members[3]));
+  for (int i = 0; i < NODES; i++)
+    if (i != 3)
+      ck_assert_int_ge (views_of (&net, i, GS_MEMBER_ALIVE), NODES - 2);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (a_paused_member_comes_back)
+{
+  Net net;
+
+  open_net (&net);
+  net.dead[4] = true;
+  run (&net, 8 * GS_US_PER_S);
+  net.dead[4] = false;
+  run (&net, 8 * GS_US_PER_S);
+  ck_assert_int_eq (views_of (&net, 4, GS_MEMBER_ALIVE), NODES - 1);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (leaving_is_told_and_not_named)
+{
+  Net net;
+  uint32_t homes[NODES];
+
+  open_net (&net);
+  gs_members_leave (net.members[2]);
+  run (&net, 2 * GS_US_PER_S);
+  ck_assert_int_eq (views_of (&net, 2, GS_MEMBER_LEAVING), NODES - 1);
+  for (int i = 0; i < NODES; i++)
+    ck_assert_uint_eq (gs_members_homes (net.members[i], 1, NODES, homes), NODES - 1);
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (homes_agree_and_spread_over_domains)
+{
+  Net net;
+  uint32_t first[3];
+  uint32_t other[3];
+
+  open_net (&net);
+  for (uint64_t key = 1; key < 40; key++)
+    {
+      gs_members_homes (net.members[0], gs_mix64 (key), 3, first);
+      gs_members_homes (net.members[7], gs_mix64 (key), 3, other);
+      for (int i = 0; i < 3; i++)
+        ck_assert_str_eq (gs_members_get (net.members[0], first[i])->id,
+                          gs_members_get (net.members[7], other[i])->id);
+      for (int i = 0; i < 2; i++)
+        ck_assert_str_ne (gs_members_get (net.members[0], first[i])->failure_domain,
+                          gs_members_get (net.members[0], first[i + 1])->failure_domain);
+    }
+  close_net (&net);
+}
+END_TEST
+
+START_TEST (messages_do_not_grow_with_the_fleet)
+{
+  Net net;
+  uint64_t before;
+
+  open_net (&net);
+  before = net.sent[0];
+  run (&net, 10 * GS_US_PER_S);
+  /* 20 periods: 4 probes, and answers to about 4, each */
+  ck_assert_uint_le (net.sent[0] - before, 20 * 4 * 4);
+  close_net (&net);
+}
+END_TEST
+
+FIXTURE_MAIN ("member",
+              &all_find_each_other,
+              &a_dead_member_is_not_named_after_3_s,
+              &a_cut_between_two_removes_nobody,
+              &one_that_hears_nothing_accuses_nobody,
+              &a_paused_member_comes_back,
+              &leaving_is_told_and_not_named,
+              &homes_agree_and_spread_over_domains,
+              &messages_do_not_grow_with_the_fleet)
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -26,8 +26,7 @@
 answer (GsPool *pool, uint16_t index, GsOutcome outcome, int64_t now_us)
 {
   gs_pool_begin (pool, index);
-  gs_pool_end (
-      pool, index, &(GsEnd){ .now_us = now_us, .outcome = outcome, .answer_us = 20000 });
+  gs_pool_end (pool, index, &(GsEnd){ .now_us = now_us, .outcome = outcome, .answer_us = 20000 });
 }
 
 static void
@@ -94,8 +93,8 @@
 
   gs_pool_leave (pool, "u0", SECOND);
   for (int i = 0; i < 50; i++)
-    ck_assert_int_ne (
-        gs_pool_choose (pool, &(GsChoice){ .now_us = 2 * SECOND, .random = &dice }), 0);
+    ck_assert_int_ne (gs_pool_choose (pool, &(GsChoice){ .now_us = 2 * SECOND, .random = &dice }),
+                      0);
   gs_pool_listed_live (pool, "u0", 10 * SECOND);
   ck_assert_int_eq (state_of (pool, 0), GS_UPSTREAM_LEAVING);
   gs_pool_listed_live (pool, "u0", 70 * SECOND);
@@ -206,8 +205,14 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("pool", &failing_upstream_is_ejected_and_returns, &floor_holds_when_all_but_one_fail,
-              &leaving_below_the_floor_takes_ejected_back, &leaving_gets_no_work,
-              &slots_are_never_exceeded, &refusals_and_cancellations_are_not_failures,
-              &silent_connections_are_proved_first, &whole_pool_failing_ejects_nobody,
-              &edit_keeps_what_is_known, &another_homes_word_alone_ejects_nobody)
+FIXTURE_MAIN ("pool",
+              &failing_upstream_is_ejected_and_returns,
+              &floor_holds_when_all_but_one_fail,
+              &leaving_below_the_floor_takes_ejected_back,
+              &leaving_gets_no_work,
+              &slots_are_never_exceeded,
+              &refusals_and_cancellations_are_not_failures,
+              &silent_connections_are_proved_first,
+              &whole_pool_failing_ejects_nobody,
+              &edit_keeps_what_is_known,
+              &another_homes_word_alone_ejects_nobody)
--- a/test/unit/test_queue.c
+++ b/test/unit/test_queue.c
@@ -85,5 +85,9 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("queue", &flows_take_turns, &flood_displaces_itself, &unpopped_goes_first,
-              &removed_is_gone, &retries_stay_within_their_share)
+FIXTURE_MAIN ("queue",
+              &flows_take_turns,
+              &flood_displaces_itself,
+              &unpopped_goes_first,
+              &removed_is_gone,
+              &retries_stay_within_their_share)
--- /dev/null
+++ b/test/unit/test_records.c
@@ -0,0 +1,159 @@
+/* Unit tests of platform/record and peer/wire. */
+#include "../../src/gentian/peer/wire.h"
+#include "../../src/gentian/platform/record.h"
+#include "fixture.h"
+
+static bool
+decode (GsRecord *record, GBytes *bytes)
+{
+  gsize length;
+  const char *data = g_bytes_get_data (bytes, &length);
+
+  return gs_record_decode (record, data, length);
+}
+
+START_TEST (edits_come_back)
+{
+  g_autoptr (GBytes) bytes = gs_record_encode_edit ("id", "w", 7, "pools: []\n");
+  GsRecord record;
+
+  ck_assert (decode (&record, bytes));
+  ck_assert_int_eq (record.kind, GS_RECORD_EDIT);
+  ck_assert_str_eq (record.text, "pools: []\n");
+  ck_assert_uint_eq (record.base, 7);
+  gs_record_clear (&record);
+}
+END_TEST
+
+START_TEST (claims_come_back)
+{
+  GsClaimRecord claims[2]
+      = { { GS_CLAIM_TAKE, { 1, 2, 3 }, 4 }, { GS_CLAIM_DONE, { 5, 6, 7 }, 8 } };
+  g_autoptr (GBytes) bytes = gs_record_encode_claims (claims, 2);
+  GsRecord record;
+
+  ck_assert (decode (&record, bytes));
+  ck_assert_uint_eq (record.n_claims, 2);
+  ck_assert_int_eq (record.claims[1].kind, GS_CLAIM_DONE);
+  ck_assert_uint_eq (record.claims[1].claim, 8);
+  gs_record_clear (&record);
+}
+END_TEST
+
+START_TEST (every_cut_record_is_refused)
+{
+  g_autoptr (GBytes) bytes = gs_record_encode_edit ("id", "w", 7, "pools: []\n");
+  gsize length;
+  const char *data = g_bytes_get_data (bytes, &length);
+  GsRecord record;
+
+  for (gsize i = 0; i < length; i++)
+    ck_assert (!gs_record_decode (&record, data, i));
+}
+END_TEST
+
+START_TEST (unknown_versions_are_refused)
+{
+  GsRecord record;
+  GsWireMessage message;
+
+  ck_assert (!gs_record_decode (&record, "\x92\x02\x01", 3));
+  ck_assert (!gs_record_decode (&record, "\x92\x01\x09", 3));
+  ck_assert (!gs_wire_decode (&message, "\x92\x02\x01", 3));
+  ck_assert (!gs_wire_decode (&message, "garbage", 7));
+}
+END_TEST
+
+static GsWireMessage
+round_trip (const GsWireMessage *message)
+{
+  g_autoptr (GBytes) bytes = gs_wire_encode (message);
+  GsWireMessage back;
+  gsize length;
+  const char *data = g_bytes_get_data (bytes, &length);
+
+  ck_assert (gs_wire_decode (&back, data, length));
+  for (gsize i = 0; i < length; i++)
+    {
+      GsWireMessage cut;
+      ck_assert (!gs_wire_decode (&cut, data, i));
+    }
+  return back;
+}
+
+START_TEST (probes_come_back)
+{
+  GsMemberFact facts[2] = { fixture_member ("a", "d1"), fixture_member ("b", "d2") };
+  GsWireMessage message = { .kind = GS_WIRE_PROBE,
+                            .probe = { .kind = GS_PROBE_REQUEST,
+                                       .sequence = 9,
+                                       .position = 11,
+                                       .target = "c",
+                                       .from = fixture_member ("s", "d0"),
+                                       .facts = facts,
+                                       .n_facts = 2 } };
+  GsWireMessage back = round_trip (&message);
+
+  ck_assert_uint_eq (back.probe.n_facts, 2);
+  ck_assert_str_eq (back.probe.facts[1].id, "b");
+  ck_assert_str_eq (back.probe.target, "c");
+  ck_assert_uint_eq (back.probe.position, 11);
+  gs_wire_clear (&back);
+}
+END_TEST
+
+START_TEST (other_messages_come_back)
+{
+  GsWireMessage evidence
+      = { .kind = GS_WIRE_EVIDENCE,
+          .evidence = { .from = "a", .pool = 3, .upstream = "u", .level = 2, .score_nats = 4.5 } };
+  GsWireMessage crash = { .kind = GS_WIRE_CRASH, .crash = { 5, 6 } };
+  GsWireMessage sign = { .kind = GS_WIRE_SIGN, .sign = { .upstream = "u", .leaving = true } };
+  GsWireMessage pull = { .kind = GS_WIRE_COPY_PULL, .reply_to = { 1, 2 }, .from = 77 };
+  GsWireMessage back = round_trip (&evidence);
+
+  ck_assert (back.evidence.score_nats == 4.5 && back.evidence.level == 2);
+  back = round_trip (&crash);
+  ck_assert_uint_eq (back.crash.crash, 6);
+  back = round_trip (&sign);
+  ck_assert (back.sign.leaving);
+  back = round_trip (&pull);
+  ck_assert_uint_eq (back.from, 77);
+}
+END_TEST
+
+START_TEST (copies_come_back)
+{
+  GsTable *table = gs_table_new ();
+  GsFold *fold = gs_fold_new (table);
+  GsEdit edit = { .submission = 3, .workspace = "w", .text = "pools: []" };
+  g_autoptr (GBytes) bytes = NULL;
+  GsCopy copy;
+  gsize length;
+  const char *data;
+  uint64_t revision;
+
+  edit.document = fixture_tables (1, GS_REPEAT_SAFE);
+  gs_fold_begin (fold, 0);
+  gs_fold_edit (fold, 4, &edit, &revision);
+  bytes = gs_copy_encode (fold, 0);
+  data = g_bytes_get_data (bytes, &length);
+  ck_assert (gs_copy_decode (&copy, data, length));
+  ck_assert_uint_eq (copy.position, 5);
+  ck_assert_uint_eq (copy.n_entries, 1);
+  ck_assert_uint_eq (copy.entries[0].revision, 5);
+  ck_assert_uint_eq (copy.entries[0].submissions[0], 3);
+  gs_copy_clear (&copy);
+  gs_fold_free (fold);
+  gs_table_free (table);
+}
+END_TEST
+
+FIXTURE_MAIN ("records",
+              &edits_come_back,
+              &claims_come_back,
+              &every_cut_record_is_refused,
+              &unknown_versions_are_refused,
+              &probes_come_back,
+              &other_messages_come_back,
+              &copies_come_back)
--- a/test/unit/test_table.c
+++ b/test/unit/test_table.c
@@ -76,5 +76,9 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("table", &longest_prefix_wins, &any_host_comes_last, &revision_never_falls,
-              &clash_with_another_workspace, &replacing_drops_old_rows)
+FIXTURE_MAIN ("table",
+              &longest_prefix_wins,
+              &any_host_comes_last,
+              &revision_never_falls,
+              &clash_with_another_workspace,
+              &replacing_drops_old_rows)
