Keep the right with its holder when a forwarded posting was refused

Cause: the functional test with the log away saw a keyed posting run that its holder had refused as not run: the daemon that had forwarded it took the refusal as leave to try elsewhere and dispatched it without the claim. Ruled out: the claim itself (the holder never dispatched); the platform stand-in (its outage was in force). Change: after a refusal by the holder the refusal is passed on; an unreachable holder means claiming the key here, or may-have-run for a ticket. A finished claim counts as done at once. A daemon that hears nobody accuses nobody, but serves; a home that cannot be reached is not needed for a ticket; a lost connection is told from a crash by a connect; the memory of a slow upstream fades. Conclusion: a not-run answer of the holder is final for that request.

--- a/src/gentian/core/base.c
+++ b/src/gentian/core/base.c
@@ -14,8 +14,8 @@
 gs_outcome_name (GsOutcome outcome)
 {
   static const char *const names[GS_OUTCOME_COUNT]
-      = { "ok",     "error",     "refused", "leaving", "unreachable",
-          "closed", "truncated", "timeout", "silent",  "cancelled" };
+      = { "ok",      "error",     "refused", "leaving", "unreachable", "closed",
+          "crashed", "truncated", "timeout", "silent",  "cancelled" };
   return outcome < GS_OUTCOME_COUNT ? names[outcome] : "unknown";
 }
 
--- a/src/gentian/core/base.h
+++ b/src/gentian/core/base.h
@@ -37,6 +37,7 @@
   GS_OUTCOME_LEAVING,     /**< the upstream refused it unread because it is leaving */
   GS_OUTCOME_UNREACHABLE, /**< no byte of the request was sent */
   GS_OUTCOME_CLOSED,      /**< connection lost after request bytes, before any answer byte */
+  GS_OUTCOME_CRASHED,     /**< as closed, and the upstream accepts no connection any more */
   GS_OUTCOME_TRUNCATED,   /**< connection lost inside the answer */
   GS_OUTCOME_TIMEOUT,     /**< nothing came in time on a connection made for this attempt */
   GS_OUTCOME_SILENT,      /**< nothing came in time on a kept connection */
--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -245,7 +245,7 @@
 bool
 gs_core_ready (const GsCore *core)
 {
-  return gs_fold_complete (core->fold) && !core->stopping && !gs_members_isolated (core->members);
+  return gs_fold_complete (core->fold) && !core->stopping;
 }
 
 static void
@@ -415,19 +415,15 @@
 static void
 fill_entries (GsCore *core, PoolState *state, GsEntriesEffect *entries)
 {
-  uint32_t unreachable[CORE_HOMES_MAX];
-  uint32_t n_unreachable = 0;
-
   for (uint32_t i = 0; i < state->n_homes && entries->n_members < GS_ENTRIES_MAX; i++)
     {
       uint32_t index = state->homes[i];
       if (index != 0 && !gs_members_reachable (core->members, index))
-        unreachable[n_unreachable++] = index;
-      else
-        entries->members[entries->n_members++] = *gs_members_get (core->members, index);
+        continue;
+      entries->members[entries->n_members++] = *gs_members_get (core->members, index);
     }
-  if (entries->n_members == 0 && n_unreachable > 0)
-    entries->members[entries->n_members++] = *gs_members_get (core->members, unreachable[0]);
+  if (entries->n_members == 0 && !core->stopping)
+    entries->members[entries->n_members++] = *gs_members_get (core->members, 0);
 }
 
 /* Daemons for a question that names no route: any, one a failure domain first. */
@@ -469,8 +465,9 @@
       core_refresh_homes (core, state);
       fill_entries (core, state, &entries);
       entries.repeat = route->repeat;
-      entries.ask_home
-          = route->repeat == GS_REPEAT_NEVER && !state->is_home && entries.n_members > 0;
+      entries.ask_home = route->repeat == GS_REPEAT_NEVER && !state->is_home && !event->answer_here
+                         && entries.n_members > 0
+                         && strcmp (entries.members[0].id, core->options.self.id) != 0;
       if (route->repeat == GS_REPEAT_NEVER && !entries.ask_home && !core->stopping)
         entries.ticket = gs_tickets_issue (core->tickets, core->now_us);
     }
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -106,6 +106,7 @@
   uint64_t request;
   const char *host; /**< NULL: any daemons */
   const char *path;
+  bool answer_here; /**< no home answers: issue a ticket here */
 } GsEntriesEvent;
 
 typedef struct
@@ -305,7 +306,7 @@
 /** RETURN VALUE: requests received and not yet answered. */
 uint32_t gs_core_in_flight (const GsCore *core);
 
-/** RETURN VALUE: true when this daemon has the tables and is neither isolated nor stopping. */
+/** RETURN VALUE: true when this daemon has the tables and is not stopping. */
 bool gs_core_ready (const GsCore *core);
 
 /** RETURN VALUE: state for the administration API; owned by the core. */
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -81,12 +81,20 @@
   uint64_t fingerprint;
   int64_t started_us;
   bool forward;
-  bool counted; /* as overdue */
-  bool late;    /* its age was counted */
-  bool began;   /* its answer is being passed on */
+  bool counted;    /* as overdue */
+  bool late;       /* its age was counted */
+  bool began;      /* its answer is being passed on */
+  bool with_right; /* forwarded with the request's right, to its holder */
   char target[GS_NAME_MAX + 1];
 } Attempt;
 
+/* A claim of this daemon that has not been read back. */
+typedef struct
+{
+  uint64_t request;
+  GsKey key;
+} OwnClaim;
+
 /* Last crash seen at an upstream. */
 typedef struct
 {
@@ -105,7 +113,7 @@
   GHashTable *requests;    /* id -> Request */
   GHashTable *attempts;    /* id -> Attempt */
   GHashTable *crash_sites; /* upstream key -> CrashSite */
-  GHashTable *own_claims;  /* claim -> request id, 0 when nobody waits for it */
+  GHashTable *own_claims;  /* claim -> OwnClaim, while it has not been read back */
   GsCrashes *crashes;
   GsTickets *tickets;
   GsClaims *claims[GS_CLAIM_PARTITIONS]; /* NULL until needed */
@@ -153,6 +161,7 @@
 
 /* right.c */
 void right_begin (GsCore *core, Request *request);
+void right_holder_failed (GsCore *core, Request *request, GsOutcome outcome);
 bool right_not_run (GsCore *core, Request *request, const char *reason);
 void right_answered (GsCore *core, Request *request);
 void right_fold (GsCore *core, uint32_t partition, const GsClaimRecord *record, int64_t log_ms);
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -6,10 +6,11 @@
 enum
 {
   MEMBER_FACT_SENDS = 10,         /* messages on which a new fact rides */
-  MEMBER_ISOLATED_MISSES = 3,     /* rings, of four, that must be silent */
   MEMBER_DIGEST_MISMATCH_MAX = 6, /* messages in a row with another digest before a pull */
 };
 
+/** A daemon that heard nobody for this long accuses nobody: several messages a period are usual. */
+#define MEMBER_SILENCE_US (600 * GS_US_PER_MS)
 #define MEMBER_ACK_US (300 * GS_US_PER_MS)
 #define MEMBER_PULL_GAP_US (5 * GS_US_PER_S)
 #define MEMBER_BAD_PATH_US (5 * GS_US_PER_S)
@@ -30,7 +31,6 @@
   uint64_t sequence;
   int64_t sent_us;
   bool asked_others;
-  bool missed_last;
 } Ring;
 
 /* A ping made for another daemon. */
@@ -62,6 +62,7 @@
   uint64_t best_position;
   GsPeerAddress best_address;
   int64_t next_period_us;
+  int64_t heard_us; /* last message of anybody */
   int64_t now_us;
   int64_t next_pull_us;
   uint32_t digest_mismatches;
@@ -283,12 +284,9 @@
   Member *target = successor (members, index);
   GsPeerAddress to;
 
-  *ring = (Ring){ .missed_last = ring->missed_last };
+  *ring = (Ring){ 0 };
   if (target == NULL)
-    {
-      ring->missed_last = false;
-      return;
-    }
+    return;
   ring->target = target->hash;
   ring->sequence = ++members->sequence;
   ring->sent_us = members->now_us;
@@ -319,25 +317,11 @@
 bool
 gs_members_isolated (const GsMembers *members)
 {
-  uint64_t silent[GS_MEMBER_RINGS];
-  uint32_t missed = 0;
-  uint32_t targets = 0;
+  bool alone = true;
 
-  for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
-    {
-      const Ring *ring = &members->rings[i];
-      targets += ring->target != 0 || ring->missed_last ? 1 : 0;
-      if (!ring->missed_last)
-        continue;
-      silent[missed] = ring->target;
-      missed++;
-    }
-  if (missed < MEMBER_ISOLATED_MISSES || targets < GS_MEMBER_RINGS)
-    return false;
-  for (uint32_t i = 1; i < missed; i++)
-    if (silent[i] != silent[0])
-      return true;
-  return false;
+  for (uint32_t i = 1; i < members->members->len && alone; i++)
+    alone = !is_present (member_at (members, i));
+  return !alone && members->now_us - members->heard_us > MEMBER_SILENCE_US;
 }
 
 static void
@@ -361,7 +345,6 @@
 
   if (target == NULL)
     return;
-  ring->missed_last = missed;
   if (missed)
     {
       target->bad_path_until_us = members->now_us + MEMBER_BAD_PATH_US;
@@ -460,7 +443,6 @@
       if (ring->sequence == 0 || ring->sequence != probe->sequence)
         continue;
       ring->sequence = 0;
-      ring->missed_last = false;
       target = find_hash (members, ring->target);
       if (target == NULL)
         continue;
@@ -502,6 +484,7 @@
   GsPeerAddress from = address_of (&probe->from);
 
   members->now_us = now_us;
+  members->heard_us = now_us;
   take_fact (members, &probe->from);
   for (uint32_t i = 0; i < probe->n_facts; i++)
     take_fact (members, &probe->facts[i]);
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -118,7 +118,7 @@
 /** RETURN VALUE: the position and address of the most advanced daemon heard lately; 0 if none. */
 uint64_t gs_members_best_position (const GsMembers *members, GsPeerAddress *address);
 
-/** RETURN VALUE: true when most of this daemon's own probes go unanswered. */
+/** RETURN VALUE: true when there are members, but nothing was heard of any lately. */
 bool gs_members_isolated (const GsMembers *members);
 
 /** RETURN VALUE: a number that changes whenever a home set could change. */
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -28,6 +28,8 @@
 #define POOL_OVERDUE_FACTOR 12
 /** An attempt is late after this many times the pool's typical time. */
 #define POOL_LATE_FACTOR 6
+/** Time in which the memory of an upstream's speed fades to a third. */
+#define POOL_LATENCY_MEMORY_US (500 * GS_US_PER_MS)
 /** Weight of the newest answer in the moving average of answer times. */
 #define POOL_LATENCY_WEIGHT 0.1
 /** Own share of the evidence that an ejection needs when other homes accuse too. */
@@ -548,6 +550,15 @@
   return -1;
 }
 
+/* What is known of an upstream's speed fades, so that one that was slow is tried again. */
+static double
+expected_latency (const GsPool *pool, const Upstream *upstream, int64_t now_us)
+{
+  double age = (double)(now_us - upstream->answered_us) / (double)POOL_LATENCY_MEMORY_US;
+
+  return pool->latency_us + (upstream->latency_us - pool->latency_us) * exp (-fmax (age, 0));
+}
+
 int
 gs_pool_choose (GsPool *pool, const GsChoice *choice)
 {
@@ -562,7 +573,7 @@
       double wait;
       if (!may_take (pool, i, choice))
         continue;
-      wait = (upstream->outstanding + 1) * upstream->latency_us
+      wait = (upstream->outstanding + 1) * expected_latency (pool, upstream, choice->now_us)
              * (1 + 0.05 * gs_random_unit (choice->random));
       if (wait >= best_wait)
         continue;
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -117,6 +117,7 @@
   GsAttemptEffect *effect;
 
   attempt->forward = true;
+  attempt->with_right = with_right;
   effect = add_attempt_effect (core, request, attempt);
   effect->ipv4 = member->ipv4;
   effect->port = member->entry_port;
@@ -378,6 +379,18 @@
   return site->crash;
 }
 
+/*
+ * Number under which a connection that was lost alone is counted: the same for one upstream, so
+ * that an upstream that drops connections makes a request suspect once, and two upstreams make it
+ * suspect twice.
+ */
+static uint64_t
+lost_alone (const Attempt *attempt, bool *blame)
+{
+  *blame = true;
+  return attempt->upstream | 1;
+}
+
 static void
 tell_crash (GsCore *core, PoolState *state, uint64_t fingerprint, uint64_t crash)
 {
@@ -389,10 +402,10 @@
 
 /* RETURN VALUE: true when the lost connection is not to be held against the upstream. */
 static bool
-note_crash (GsCore *core, const Attempt *attempt)
+note_crash (GsCore *core, const Attempt *attempt, bool crashed)
 {
   bool blame;
-  uint64_t crash = crash_of (core, attempt, &blame);
+  uint64_t crash = crashed ? crash_of (core, attempt, &blame) : lost_alone (attempt, &blame);
   uint32_t before = gs_crashes_count (core->crashes, attempt->fingerprint, core->now_us);
 
   if (gs_crashes_suspect (core->crashes, attempt->fingerprint, crash, core->now_us))
@@ -437,15 +450,15 @@
                 .counted = attempt->counted,
                 .late = attempt->late };
 
-  if (event->outcome == GS_OUTCOME_CLOSED)
-    end.no_blame = note_crash (core, attempt);
+  if (event->outcome == GS_OUTCOME_CLOSED || event->outcome == GS_OUTCOME_CRASHED)
+    end.no_blame = note_crash (core, attempt, event->outcome == GS_OUTCOME_CRASHED);
   else if (event->outcome == GS_OUTCOME_OK || event->outcome == GS_OUTCOME_ERROR)
     clear_suspect (core, attempt);
   if (index < 0)
     return;
   gs_pool_view (pool, (uint16_t)index, &view);
   gs_pool_end (pool, (uint16_t)index, &end);
-  if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CLOSED)
+  if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CRASHED)
     drop_connections (core, &view, gs_outcome_name (event->outcome));
   if (event->outcome == GS_OUTCOME_LEAVING)
     {
@@ -514,6 +527,8 @@
   request->worst = MAX (request->worst, verdict);
   if (event->outcome == GS_OUTCOME_CANCELLED)
     forget (core, request);
+  else if (attempt->with_right && verdict == GS_VERDICT_NOT_RUN)
+    right_holder_failed (core, request, event->outcome);
   else if (event->outcome == GS_OUTCOME_OK || event->committed)
     answer (core, request, event);
   else if (may_retry (core, request, event->outcome))
--- a/src/gentian/core/right.c
+++ b/src/gentian/core/right.c
@@ -95,16 +95,30 @@
 static void
 append_take (GsCore *core, Request *request)
 {
-  uint64_t *key;
+  OwnClaim own = { .request = request->id, .key = request->key };
 
   request->claim = gs_mix64 (core->options.self.incarnation ^ gs_hash_name (core->options.self.id))
                    + ++core->next_claim;
   request->phase = REQUEST_WAITS_FOR_LOG;
-  key = g_memdup2 (&request->claim, sizeof request->claim);
-  g_hash_table_insert (core->own_claims, key, g_memdup2 (&request->id, sizeof request->id));
+  g_hash_table_insert (core->own_claims, g_memdup2 (&request->claim, sizeof request->claim),
+                       g_memdup2 (&own, sizeof own));
   append (core, GS_CLAIM_TAKE, request);
 }
 
+/* A claim of this daemon on KEY that may yet be read back as the winner. */
+static bool
+has_open_claim (const GsCore *core, const GsKey *key)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->own_claims);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (memcmp (&((OwnClaim *)value)->key, key, sizeof *key) == 0)
+      return true;
+  return false;
+}
+
 static void
 begin_own_key (GsCore *core, Request *request)
 {
@@ -114,7 +128,10 @@
   switch (gs_claims_state (claims, &request->key, &holder))
     {
     case GS_KEY_FREE:
-      append_take (core, request);
+      if (has_open_claim (core, &request->key))
+        refuse (core, request, GS_VERDICT_MAY_HAVE_RUN, "key-being-claimed");
+      else
+        append_take (core, request);
       break;
     case GS_KEY_CLAIMED:
       refuse (core, request, GS_VERDICT_MAY_HAVE_RUN, "key-claimed");
@@ -188,6 +205,19 @@
     begin_key (core, request);
 }
 
+/* The holder of a forwarded request's right said that it did not run, or could not be reached. */
+void
+right_holder_failed (GsCore *core, Request *request, GsOutcome outcome)
+{
+  request->phase = REQUEST_NEW;
+  if (outcome != GS_OUTCOME_UNREACHABLE)
+    refuse (core, request, GS_VERDICT_NOT_RUN, "holder-refused");
+  else if (request->right.kind == GS_RIGHT_TICKET)
+    refuse (core, request, GS_VERDICT_MAY_HAVE_RUN, "ticket-issuer-unreachable");
+  else
+    begin_own_key (core, request);
+}
+
 /*
  * Gives the right of a request back that certainly did not run.
  *
@@ -215,8 +245,11 @@
 {
   if (request->ticket_used)
     gs_tickets_done (core->tickets, request->right.number);
-  if (request->claim != 0)
-    append (core, GS_CLAIM_DONE, request);
+  if (request->claim == 0)
+    return;
+  append (core, GS_CLAIM_DONE, request);
+  gs_claims_fold (claims_of (core, gs_key_partition (&request->key)),
+                  &(GsClaimRecord){ GS_CLAIM_DONE, request->key, request->claim }, 0);
 }
 
 /* A claim of this daemon was read back. */
@@ -271,7 +304,7 @@
 right_fold (GsCore *core, uint32_t partition, const GsClaimRecord *record, int64_t log_ms)
 {
   GsClaimResult result = gs_claims_fold (claims_of (core, partition), record, log_ms);
-  uint64_t *waiting = g_hash_table_lookup (core->own_claims, &record->claim);
+  OwnClaim *own = g_hash_table_lookup (core->own_claims, &record->claim);
   uint64_t request;
 
   if (record->kind == GS_CLAIM_RELEASE)
@@ -279,9 +312,9 @@
       release_read_back (core, record->claim);
       return;
     }
-  if (waiting == NULL || record->kind != GS_CLAIM_TAKE)
+  if (own == NULL || record->kind != GS_CLAIM_TAKE)
     return;
-  request = *waiting;
+  request = own->request;
   g_hash_table_remove (core->own_claims, &record->claim);
   judge_own (core, record, result, request);
 }
@@ -324,8 +357,8 @@
 void
 right_append_failed (GsCore *core, uint64_t claim, bool certain)
 {
-  uint64_t *waiting = g_hash_table_lookup (core->own_claims, &claim);
-  Request *request = waiting != NULL ? request_find (core, *waiting) : NULL;
+  OwnClaim *own = g_hash_table_lookup (core->own_claims, &claim);
+  Request *request = own != NULL ? request_find (core, own->request) : NULL;
 
   if (!certain || request == NULL || request->phase != REQUEST_WAITS_FOR_LOG)
     return; /* it may yet be read back */
@@ -334,13 +367,14 @@
   refuse (core, request, GS_VERDICT_NOT_RUN, "log-away");
 }
 
-/* The time of a request that waits for the log is up. */
+/* The time of a request that waits for the log is up. What its key did before may be unknown here.
+ */
 void
 right_deadline (GsCore *core, Request *request)
 {
   bool appended = request->claim != 0;
 
   request->claim = 0; /* a claim that is read back later is released then */
-  refuse (core, request, appended ? GS_VERDICT_MAY_HAVE_RUN : GS_VERDICT_NOT_RUN,
-          appended ? "claim-not-read-back" : "log-away");
+  refuse (core, request, GS_VERDICT_MAY_HAVE_RUN,
+          appended ? "claim-not-read-back" : "log-not-read");
 }
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -706,28 +706,54 @@
   return false;
 }
 
-static int
-handle_entries (const struct _u_request *request, struct _u_response *response, void *data)
+static GsEntriesEvent
+read_question (const struct _u_request *request)
+{
+  GsEntriesEvent question = { .host = u_map_get (request->map_url, "host"),
+                              .path = u_map_get (request->map_url, "path") };
+
+  if (question.host != NULL && question.path == NULL)
+    question.path = "/";
+  return question;
+}
+
+/* Asks the reducer. RETURN VALUE: false when it has no tables. */
+static bool
+ask_reducer (GsEntry *entry, GsEntriesEvent question, GsEntriesEffect *entries)
 {
-  GsEntry *entry = data;
   GsWaiter waiter;
   GsEffect effect;
-  GsEvent event = { .kind = GS_EVENT_ENTRIES };
+  GsEvent event = { .kind = GS_EVENT_ENTRIES, .entries = question };
+  bool answered;
 
-  gs_counter_add (GS_COUNTER_ENTRIES, 1);
   gs_engine_open (entry->engine, &waiter);
   event.entries.request = waiter.request;
-  event.entries.host = u_map_get (request->map_url, "host");
-  event.entries.path = u_map_get (request->map_url, "path");
-  if (event.entries.host != NULL && event.entries.path == NULL)
-    event.entries.path = "/";
   gs_engine_post (entry->engine, &event);
-  if (!gs_engine_next (entry->engine, &waiter, GS_US_PER_S, &effect) || effect.entries.unavailable)
+  answered = gs_engine_next (entry->engine, &waiter, GS_US_PER_S, &effect);
+  gs_engine_close (entry->engine, &waiter);
+  if (answered)
+    *entries = effect.entries;
+  return answered && !effect.entries.unavailable;
+}
+
+static int
+handle_entries (const struct _u_request *request, struct _u_response *response, void *data)
+{
+  GsEntry *entry = data;
+  GsEntriesEvent question = read_question (request);
+  GsEntriesEffect entries;
+
+  gs_counter_add (GS_COUNTER_ENTRIES, 1);
+  if (!ask_reducer (entry, question, &entries))
     answer_error (response, 503, GS_VERDICT_NOT_RUN, "no-tables");
-  else if (!relay_to_homes (entry, &effect.entries, request, response))
-    answer_entries (entry, &effect.entries, response);
+  else if (!relay_to_homes (entry, &entries, request, response))
+    {
+      question.answer_here = true;
+      if (entries.ask_home)
+        ask_reducer (entry, question, &entries);
+      answer_entries (entry, &entries, response);
+    }
   close_when_stopping (entry, response);
-  gs_engine_close (entry->engine, &waiter);
   return U_CALLBACK_COMPLETE;
 }
 
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -1,8 +1,11 @@
 #include "exchange.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "../log/counter.h"
 
@@ -12,6 +15,8 @@
   EXCHANGE_HEADER_BYTES_MAX = 65536,
   EXCHANGE_POLL_MS = 100,
   EXCHANGE_CONNECT_TIMEOUT_MS = 1000,
+  EXCHANGE_CHECK_DELAY_US = 10000,    /* for a crashing process to close its listener */
+  EXCHANGE_CHECK_CONNECT_US = 200000, /* for the check whether it accepts connections */
 };
 
 /* One connection: an easy handle whose own cache holds at most one. */
@@ -364,12 +369,34 @@
          || g_ascii_strtoull (named, NULL, 10) == exchange->options.attempt;
 }
 
+/* A lost connection alone is the connection's; a server that accepts none any more has crashed. */
+static bool
+accepts_connections (const GsExchangeOptions *options)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (options->port),
+                                 .sin_addr.s_addr = htonl (options->ipv4) };
+  struct timeval patience = { .tv_usec = EXCHANGE_CHECK_CONNECT_US };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  bool accepts;
+
+  if (fd < 0)
+    return true;
+  g_usleep (EXCHANGE_CHECK_DELAY_US);
+  setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
+  accepts = connect (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  close (fd);
+  return accepts;
+}
+
 static GsOutcome
 failure_outcome (const GsExchange *exchange)
 {
   if (!exchange->sent)
     return GS_OUTCOME_UNREACHABLE;
-  return exchange->first_byte_us != 0 ? GS_OUTCOME_TRUNCATED : GS_OUTCOME_CLOSED;
+  if (exchange->first_byte_us != 0)
+    return GS_OUTCOME_TRUNCATED;
+  return accepts_connections (&exchange->options) ? GS_OUTCOME_CLOSED : GS_OUTCOME_CRASHED;
 }
 
 static void
--- /dev/null
+++ b/test/functional/test_leaving.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Leaving: backend servers get no new work within 3 s of the first sign; planned stops cut nothing.
+PORTS=27000
+. "$(dirname "$0")/common.sh"
+N=5
+start_fleet $N 6
+write_tables "$DIR/t.yaml" 6
+publish "$DIR/t.yaml" $N
+work_at () { curl -s --noproxy '*' "http://127.0.0.1:$((PORTS + 1100 + $1))/control/runs" | wc -l; }
+load () { "$BIN/standin/caller" -f "$(fleet_list $N)" -H h -i "$1-" -t 6 -s "$2" -w 1000 "${@:3}"; }
+
+load list 9 >"$DIR/load1" & L=$!
+sleep 1
+curl -s --noproxy '*' -X POST -H 'Content-Type: application/json' -d '[{"id":"p-1","state":"leaving"}]' "http://$PLATFORM/control/instances" >/dev/null
+sleep 3; before=$(work_at 1); sleep 2
+equal "a backend server that the list names as leaving gets no new work after 3 s" "$(($(work_at 1) - before))" 0
+backend_control 2 leaving=1
+sleep 1; before=$(work_at 2); sleep 1
+equal "one that says so itself gets none" "$(($(work_at 2) - before))" 0
+LEAVING[3]=leaving; write_tables "$DIR/t2.yaml" 6; unset "LEAVING[3]"
+ctl 2 w submit "$DIR/t2.yaml" >/dev/null
+sleep 1; before=$(work_at 3); wait $L
+equal "one whose row says so gets none" "$(($(work_at 3) - before))" 0
+equal "no request was lost by it" "$(json "$(cat "$DIR/load1")" not_run) $(json "$(cat "$DIR/load1")" may_have_run)" "0 0"
+backend_control 2 leaving=0
+
+"$BIN/standin/caller" -f "$(fleet_list $N)" -p "$(fleet_list $N)" -b "$(control_list 6)" -H h -i roll- -t 8 -s 42 -w 2000 -o 20 -k 30 -g 10 -G 8000000 >"$DIR/load2" 2>&1 & L=$!
+sleep 1
+for i in 1 2 3 4 5; do
+  begin=$(date +%s%3N)
+  kill -TERM "$(pid_of inst-$i)"
+  wait "$(pid_of inst-$i)"; code=$?
+  equal "daemon $i stops as planned with exit code 0" "$code" 0
+  at_most "its stop, in ms" $(($(date +%s%3N) - begin)) 20000
+  start_daemon $i "d$((i % 3))"
+  wait_for 10 is_ready $i || not_ok "restart $i" "not ready"
+done
+wait $L
+out=$(cat "$DIR/load2"); echo "# $out"
+equal "a rolling restart under load cut nothing" "$(json "$out" cut)" 0
+equal "and ran nothing twice" "$(json "$out" twice)" 0
+equal "and gave no wrong answer" "$(json "$out" wrong)" 0
+equal "no daemon reported a cut" "$(cat "$DIR"/inst-*.log | grep -c GS1104)" 0
--- /dev/null
+++ b/test/functional/test_verdicts.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# For every place where a failure can fall: the verdict that the caller gets against the runs that were made.
+PORTS=24000 ATTEMPT_MS=400
+. "$(dirname "$0")/common.sh"
+start_fleet 2 1
+write_tables "$DIR/t.yaml" 1 balanced 0
+publish "$DIR/t.yaml" 2
+
+# fault STATUS VERDICT RUNS: what a POST that may run once gets
+expect () {
+  local name=$1 fault=$2 status=$3 verdict=$4 count=$5 daemon
+  for daemon in 1 2; do
+    backend_control 0 "$fault"
+    request $daemon "$name-$daemon" /once -d x >"$DIR/out"
+    backend_control 0 "${fault%%=*}=0"
+    equal "$name through daemon $daemon" "$(awk '{print $1}' "$DIR/out") $(verdict_of) $(runs "$name-$daemon" 1)" "$status $verdict $count"
+    sleep 0.7
+  done
+}
+expect whole twice=0 200 "" 1
+expect failed fail_percent=100 500 ran 1
+expect reset reset_percent=100 502 may-have-run 1
+expect silent silent=1 504 may-have-run 1
+expect truncated truncate=1 502 may-have-run 1
+expect shed shed=1 503 not-run 0
+expect twice twice=1 200 "" 1
+sleep 1
+request 1 after-twice /size/50 >"$DIR/out"
+equal "the answer after one that came twice is its own" "$(cut -d' ' -f3 "$DIR/body" | head -1)" "run=after-twice"
+
+backend_control 0 truncate=1
+equal "a large answer that is cut short breaks the caller's connection" "$(request 1 big /big/3000000 | cut -d' ' -f1)" 000
+backend_control 0 truncate=0
+kill -KILL "$(pid_of p-0)"; sleep 0.2
+for daemon in 1 2; do
+  request $daemon down-$daemon /once -d x >"$DIR/out"
+  equal "unreachable through daemon $daemon" "$(verdict_of)" not-run
+done
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -109,6 +109,11 @@
   return size * count;
 }
 
+enum
+{
+  STATUS_UNREACHABLE = -1, /* no connection: nothing was sent */
+};
+
 /* RETURN VALUE: HTTP status; 0 when the answer did not come whole. */
 static long
 send_request (Worker *worker,
@@ -139,8 +144,15 @@
       curl_easy_setopt (worker->curl, CURLOPT_HTTPGET, 1L);
       curl_easy_setopt (worker->curl, CURLOPT_FRESH_CONNECT, 0L);
     }
-  if (curl_easy_perform (worker->curl) != CURLE_OK)
-    return 0;
+  switch (curl_easy_perform (worker->curl))
+    {
+    case CURLE_OK:
+      break;
+    case CURLE_COULDNT_CONNECT:
+      return STATUS_UNREACHABLE;
+    default:
+      return 0;
+    }
   curl_easy_getinfo (worker->curl, CURLINFO_RESPONSE_CODE, &status);
   return status;
 }
@@ -199,21 +211,40 @@
   return NULL;
 }
 
-static const char *
-pick_address (Worker *worker, const char *path_class, Answer *answer)
+/* RETURN VALUE: the kept answer for PATH_CLASS, asked for anew when its life is over; NULL if none.
+ */
+static Entries *
+kept_entries (Worker *worker, const char *path_class, Answer *answer)
 {
   Entries *entries = g_hash_table_lookup (worker->entries, path_class);
-  guint count;
 
-  if (entries == NULL || entries->until_us < g_get_monotonic_time ())
+  if (entries != NULL && entries->until_us >= g_get_monotonic_time ())
+    return entries;
+  entries = ask (worker, path_class, answer);
+  if (entries != NULL)
+    g_hash_table_replace (worker->entries, g_strdup (path_class), entries);
+  return entries;
+}
+
+/* Sends to the addresses in their order until one can be connected to. ADDRESS gets the last one.
+ */
+static long
+send_in_order (Worker *worker,
+               const Entries *entries,
+               const char *path,
+               const char *body,
+               struct curl_slist *headers,
+               Answer *answer,
+               const char **address)
+{
+  long status = STATUS_UNREACHABLE;
+
+  for (int i = 0; entries->addresses[i] != NULL && status == STATUS_UNREACHABLE; i++)
     {
-      entries = ask (worker, path_class, answer);
-      if (entries == NULL)
-        return NULL;
-      g_hash_table_replace (worker->entries, g_strdup (path_class), entries);
+      *address = entries->addresses[i];
+      status = send_request (worker, *address, path, body, headers, answer);
     }
-  count = g_strv_length (entries->addresses);
-  return entries->addresses[g_rand_int_range (worker->random, 0, (gint32)count)];
+  return status;
 }
 
 static uint64_t
@@ -254,7 +285,7 @@
 static End
 judge (long status, const Answer *answer, const char *address, bool right)
 {
-  if (status == 0)
+  if (status <= 0)
     return lost_end (address);
   if (status == 200)
     return right ? END_WHOLE : END_WRONG;
@@ -277,26 +308,32 @@
   g_autofree char *run_id = make_run_id (worker);
   g_autofree char *header = g_strdup_printf ("Run-Id: %s", run_id);
   g_autofree char *host = g_strdup_printf ("Host: %s", options.host);
-  const char *address = pick_address (worker, path_class, answer);
+  const char *address = NULL;
+  Entries *entries = kept_entries (worker, path_class, answer);
   struct curl_slist *headers;
   long status;
   gint64 begin_us = g_get_monotonic_time ();
   double ms;
+  End end;
 
-  if (address == NULL)
+  if (entries == NULL)
     return END_BROKEN;
   headers = curl_slist_append (curl_slist_append (NULL, header), host);
-  status = send_request (worker, address, path, NULL, headers, answer);
+  status = send_in_order (worker, entries, path, NULL, headers, answer, &address);
   ms = (double)(g_get_monotonic_time () - begin_us) / 1000;
   g_array_append_val (worker->latencies, ms);
   curl_slist_free_all (headers);
-  return judge (status, answer, address, is_right (answer, path, run_id, NULL, size));
+  end = judge (status, answer, address, is_right (answer, path, run_id, NULL, size));
+  if (status <= 0)
+    g_hash_table_remove (worker->entries, path_class); /* ask anew */
+  return end;
 }
 
 static End
 post_once (Worker *worker,
            Answer *answer,
-           const char *address,
+           const Entries *entries,
+           const char *first,
            const char *right,
            const char *run_id,
            const char *body)
@@ -304,11 +341,15 @@
   g_autofree char *run = g_strdup_printf ("Run-Id: %s", run_id);
   g_autofree char *host = g_strdup_printf ("Host: %s", options.host);
   struct curl_slist *headers = curl_slist_append (curl_slist_append (NULL, run), host);
-  long status;
+  const char *address = first;
+  long status = STATUS_UNREACHABLE;
 
   headers = curl_slist_append (headers, right);
   headers = curl_slist_append (headers, "Content-Type: application/octet-stream");
-  status = send_request (worker, address, "/refunds", body, headers, answer);
+  if (first != NULL)
+    status = send_request (worker, first, "/refunds", body, headers, answer);
+  if (status == STATUS_UNREACHABLE)
+    status = send_in_order (worker, entries, "/refunds", body, headers, answer, &address);
   curl_slist_free_all (headers);
   return judge (status, answer, address, is_right (answer, "/refunds", run_id, body, 0));
 }
@@ -344,12 +385,8 @@
   right = make_right (entries, key, run_id);
   for (int i = 0; i <= options.resends; i++)
     {
-      guint count = g_strv_length (entries->addresses);
-      const char *address
-          = i == 0 && !key
-                ? entries->ticket_entry
-                : entries->addresses[g_rand_int_range (worker->random, 0, (gint32)count)];
-      End again = post_once (worker, answer, address, right, run_id, body);
+      const char *first = i == 0 && !key ? entries->ticket_entry : NULL;
+      End again = post_once (worker, answer, entries, first, right, run_id, body);
       end = i == 0 || again == END_WHOLE || again == END_WRONG || end != END_CUT ? again : end;
       if (end == END_WHOLE || end == END_NOT_RUN || end == END_RAN || end == END_WRONG)
         break;
@@ -489,7 +526,8 @@
       for (int j = 0; j < END_COUNT; j++)
         counts[j] += workers[i].counts[j];
     }
-  qsort (latencies->data, latencies->len, sizeof (double), compare_doubles);
+  if (latencies->len > 0)
+    qsort (latencies->data, latencies->len, sizeof (double), compare_doubles);
   counts[END_WRONG] += broken.false_not_run + broken.false_whole;
   printf ("{\"requests\":%" G_GUINT64_FORMAT ",\"whole\":%" G_GUINT64_FORMAT
           ",\"not_run\":%" G_GUINT64_FORMAT ",\"may_have_run\":%" G_GUINT64_FORMAT
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -51,8 +51,8 @@
 
 START_TEST (uncertain_requests_are_not_repeated)
 {
-  static const GsOutcome outcomes[]
-      = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_SILENT, GS_OUTCOME_CLOSED, GS_OUTCOME_TRUNCATED };
+  static const GsOutcome outcomes[] = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_SILENT, GS_OUTCOME_CLOSED,
+                                        GS_OUTCOME_CRASHED, GS_OUTCOME_TRUNCATED };
 
   for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
     {
@@ -333,10 +333,10 @@
 {
   Fixture fixture = fixture_new (6, GS_REPEAT_SAFE);
   uint64_t attempt = fixture_request (&fixture, 1, 666);
-  uint64_t second = fixture_end (&fixture, attempt, GS_OUTCOME_CLOSED);
+  uint64_t second = fixture_end (&fixture, attempt, GS_OUTCOME_CRASHED);
 
   ck_assert_uint_ne (second, 0);
-  ck_assert_uint_eq (fixture_end (&fixture, second, GS_OUTCOME_CLOSED), 0);
+  ck_assert_uint_eq (fixture_end (&fixture, second, GS_OUTCOME_CRASHED), 0);
   ck_assert_uint_eq (fixture_request (&fixture, 2, 666), 0);
   ck_assert_int_eq (rejection (&fixture)->status, 422);
   ck_assert_uint_ne (fixture_request (&fixture, 3, 667), 0);
@@ -361,6 +361,21 @@
 }
 END_TEST
 
+START_TEST (one_upstream_that_drops_connections_condemns_no_request)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_ONCE);
+
+  for (uint64_t i = 1; i <= 5; i++)
+    {
+      uint64_t attempt = fixture_request (&fixture, i, 5);
+      ck_assert_uint_ne (attempt, 0);
+      fixture_end (&fixture, attempt, GS_OUTCOME_CLOSED);
+      ck_assert_int_eq (rejection (&fixture)->verdict, GS_VERDICT_MAY_HAVE_RUN);
+    }
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (a_late_caller_leaves_nothing_behind)
 {
   Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
@@ -419,5 +434,6 @@
               &not_run_waits_for_the_release,
               &a_crashing_request_is_refused_after_two,
               &requests_that_only_shared_a_crash_go_on,
+              &one_upstream_that_drops_connections_condemns_no_request,
               &a_late_caller_leaves_nothing_behind,
               &same_seed_same_effects)
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -199,6 +199,22 @@
 }
 END_TEST
 
+START_TEST (survivors_of_a_large_loss_find_the_dead)
+{
+  Net net;
+
+  open_net (&net);
+  for (int i = 4; i < NODES; i++)
+    net.dead[i] = true;
+  run (&net, 15 * GS_US_PER_S);
+  for (int i = 4; i < NODES; i++)
+    ck_assert_int_eq (views_of (&net, i, GS_MEMBER_DEAD), 4);
+  for (int i = 0; i < 4; i++)
+    ck_assert_int_eq (views_of (&net, i, GS_MEMBER_ALIVE), 3);
+  close_net (&net);
+}
+END_TEST
+
 START_TEST (a_paused_member_comes_back)
 {
   Net net;
@@ -269,6 +285,7 @@
               &a_dead_member_is_not_named_after_3_s,
               &a_cut_between_two_removes_nobody,
               &one_that_hears_nothing_accuses_nobody,
+              &survivors_of_a_large_loss_find_the_dead,
               &a_paused_member_comes_back,
               &leaving_is_told_and_not_named,
               &homes_agree_and_spread_over_domains,
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -171,6 +171,27 @@
 }
 END_TEST
 
+START_TEST (a_slow_upstream_is_tried_again)
+{
+  GsDocument *document = fixture_tables (2, GS_REPEAT_SAFE);
+  GsPool *pool = pool_of (document, 0);
+  int tried = 0;
+
+  gs_pool_begin (pool, 0);
+  gs_pool_end (pool, 0,
+               &(GsEnd){ .now_us = SECOND, .outcome = GS_OUTCOME_OK, .answer_us = SECOND });
+  for (int i = 0; i < 100; i++)
+    tried += gs_pool_choose (pool, &(GsChoice){ .now_us = SECOND, .random = &dice }) == 0 ? 1 : 0;
+  ck_assert_int_eq (tried, 0);
+  for (int i = 0; i < 100; i++)
+    tried += gs_pool_choose (pool, &(GsChoice){ .now_us = 20 * SECOND, .random = &dice }) == 0 ? 1
+                                                                                               : 0;
+  ck_assert_int_gt (tried, 0);
+  gs_pool_free (pool);
+  gs_document_free (document);
+}
+END_TEST
+
 START_TEST (edit_keeps_what_is_known)
 {
   GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
@@ -214,5 +235,6 @@
               &refusals_and_cancellations_are_not_failures,
               &silent_connections_are_proved_first,
               &whole_pool_failing_ejects_nobody,
+              &a_slow_upstream_is_tried_again,
               &edit_keeps_what_is_known,
               &another_homes_word_alone_ejects_nobody)
