--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -30,7 +30,7 @@
 };
 
 #define BENCH_RUN_US (40 * GS_US_PER_S)
-#define BENCH_CALM_RUN_US (300 * GS_US_PER_S)
+#define BENCH_CALM_RUN_US (120 * GS_US_PER_S)
 #define BENCH_FAULT_AT_US (10 * GS_US_PER_S)
 
 typedef struct
@@ -89,6 +89,8 @@
   BaselineUpstream *upstream = &((Baseline *)detector)->upstreams[index];
   int64_t second = sample->now_us / GS_US_PER_S;
 
+  if (sample->provisional)
+    return; /* no baseline looks at running attempts */
   for (; upstream->second < second; upstream->second++)
     {
       if (second - upstream->second > BENCH_WINDOW_S)
--- a/src/gentian/core/fold.c
+++ b/src/gentian/core/fold.c
@@ -3,12 +3,16 @@
 #include <glib.h>
 #include <string.h>
 
+/** YAML text of tables without rows; most workspaces have none, so it is not stored for each. */
+#define FOLD_EMPTY_TEXT "{}\n"
+
+/* One allocation each: a daemon holds one for every workspace of the fleet. */
 typedef struct
 {
-  char *workspace;
-  char *text;
+  char *text; /* NULL: tables without rows */
   uint64_t revision;
   uint64_t submissions[GS_FOLD_SUBMISSIONS]; /* newest first */
+  char workspace[];
 } Entry;
 
 struct GsFold
@@ -32,7 +36,6 @@
 {
   Entry *entry = data;
 
-  g_free (entry->workspace);
   g_free (entry->text);
   g_free (entry);
 }
@@ -63,12 +66,25 @@
 
   if (entry != NULL)
     return entry;
-  entry = g_new0 (Entry, 1);
-  entry->workspace = g_strdup (workspace);
+  entry = g_malloc0 (sizeof *entry + strlen (workspace) + 1);
+  strcpy (entry->workspace, workspace);
   g_hash_table_insert (fold->entries, entry->workspace, entry);
   return entry;
 }
 
+static void
+set_text (Entry *entry, const GsDocument *document, const char *text)
+{
+  g_free (entry->text);
+  entry->text = document->n_routes + document->n_pools > 0 ? g_strdup (text) : NULL;
+}
+
+static const char *
+text_of (const Entry *entry)
+{
+  return entry->text != NULL ? entry->text : FOLD_EMPTY_TEXT;
+}
+
 static bool
 was_accepted (const Entry *entry, uint64_t submission)
 {
@@ -106,8 +122,7 @@
            (GS_FOLD_SUBMISSIONS - 1) * sizeof entry->submissions[0]);
   entry->submissions[0] = edit->submission;
   entry->revision = revision;
-  g_free (entry->text);
-  entry->text = g_strdup (edit->text);
+  set_text (entry, edit->document, edit->text);
   edit->document->revision = revision;
   gs_table_replace (fold->table, edit->document);
 }
@@ -163,8 +178,7 @@
   entry = entry_of (fold, copy->workspace);
   entry->revision = copy->revision;
   memcpy (entry->submissions, copy->submissions, sizeof entry->submissions);
-  g_free (entry->text);
-  entry->text = g_strdup (copy->text);
+  set_text (entry, document, copy->text);
   document->revision = copy->revision;
   return gs_table_replace (fold->table, document);
 }
@@ -189,7 +203,7 @@
     {
       const Entry *entry = value;
       GsCopyEntry copy
-          = { .workspace = entry->workspace, .text = entry->text, .revision = entry->revision };
+          = { .workspace = entry->workspace, .text = text_of (entry), .revision = entry->revision };
       if (entry->revision <= from)
         continue;
       memcpy (copy.submissions, entry->submissions, sizeof copy.submissions);
@@ -215,7 +229,7 @@
   const Entry *entry = g_hash_table_lookup (fold->entries, workspace);
 
   if (text != NULL)
-    *text = entry != NULL ? entry->text : NULL;
+    *text = entry != NULL ? text_of (entry) : NULL;
   return entry != NULL ? entry->revision : 0;
 }
 
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -6,7 +6,8 @@
 
 enum
 {
-  POOL_LATE_MAX = 4,             /* late attempts that count between two answers of an upstream */
+  POOL_LATE_MAX
+  = 3, /* late attempts that count between two answers; fewer nats than any threshold */
   POOL_UNREACHABLE_IN_A_ROW = 2, /* failed connects in a row that take an upstream out */
 };
 
--- a/src/gentian/core/table.c
+++ b/src/gentian/core/table.c
@@ -196,6 +196,11 @@
       unindex_document (table, old);
       g_hash_table_remove (table->documents, old->workspace);
     }
+  if (document->n_routes + document->n_pools == 0)
+    {
+      gs_document_free (document); /* nothing to look up; the fold keeps the revision */
+      return true;
+    }
   g_hash_table_insert (table->documents, document->workspace, document);
   index_document (table, document);
   return true;
