--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 BENCHES := $(patsubst bench/%.c,$(B)/bench/%,$(wildcard bench/bench_*.c))
 FUZZERS := $(patsubst test/fuzz/%.c,build/fuzz/%,$(wildcard test/fuzz/fuzz_*.c))
 
-.PHONY: all setup demo check prove lint format bench-hop bench-detection bench-routing bench-slopes clean units properties fuzzers mutants
+.PHONY: all setup demo check prove bench-config bench-hop bench-detection bench-routing bench-slopes clean units properties fuzzers mutants
 .SECONDARY:
 
 all: $(PROGRAMS) $(STANDINS)
@@ -77,6 +77,9 @@
 bench-detection bench-routing: bench-%: $(B)/bench/bench_%
 	$<
 
+bench-config: all
+	bench/config.sh
+
 bench-hop: all $(B)/bench/bench_hop
 	bench/hop.sh
 
--- a/bench/hop.sh
+++ b/bench/hop.sh
@@ -9,7 +9,7 @@
 rss_kb () { awk '/^VmRSS/{print $2}' "/proc/$1/status"; }
 peak_kb () { awk '/^VmHWM/{print $2}' "/proc/$1/status"; }
 start_platform
-for i in 0 1 2 3; do start_backend $i "b-$i" 200 64; done
+for i in 0 1 2 3; do start_backend $i "b-$i" ${SERVICE_US:-200} 64; done
 for i in 1 2 3; do start_daemon $i "d$i"; done
 for i in 1 2 3; do wait_for 15 sees_members $i 3; done
 { echo "pools:"; write_pool p balanced 50 1 0 4 | sed 's/^    homes: 1/    homes: 1\n    slots: 64/'; echo "routes:"; echo "  - {name: r, host: h, prefix: /, pool: p, repeat: safe}"; } >"$DIR/t.yaml"
