--- a/bench/bench_detection.c
+++ b/bench/bench_detection.c
@@ -16,6 +16,7 @@
 #include <string.h>
 
 #include "fake_pool.h"
+#include "statistics.h"
 
 enum
 {
@@ -217,15 +218,6 @@
   fake_pool_run (&run->options, &run->result);
 }
 
-static int
-compare_doubles (const void *left, const void *right)
-{
-  double a = *(const double *)left;
-  double b = *(const double *)right;
-
-  return a < b ? -1 : a > b;
-}
-
 static FakeOptions
 make_options (const Deployment *deployment, FakeFault fault, const Policy *policy, uint64_t seed)
 {
@@ -269,7 +261,7 @@
       summary.upstream_hours
           += (double)options->duration_us / GS_US_PER_S / 3600 * options->n_upstreams;
     }
-  qsort (times, count, sizeof *times, compare_doubles);
+  statistics_sort (times, count);
   summary.p50_ms = times[count / 2];
   summary.p99_ms = times[(uint32_t)ceil (count * 0.99) - 1];
   return summary;
--- a/bench/bench_hop.c
+++ b/bench/bench_hop.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "statistics.h"
+
 typedef struct
 {
   int index;
@@ -118,21 +120,6 @@
   return (double)(user + system) * 1e6 / (double)sysconf (_SC_CLK_TCK);
 }
 
-static int
-compare_doubles (const void *left, const void *right)
-{
-  double a = *(const double *)left;
-  double b = *(const double *)right;
-
-  return a < b ? -1 : a > b;
-}
-
-static double
-percentile (GArray *values, double share)
-{
-  return values->len > 0 ? g_array_index (values, double, (guint)((values->len - 1) * share)) : 0;
-}
-
 static GArray *
 gather (const Caller *callers, size_t offset)
 {
@@ -143,8 +130,7 @@
       GArray *part = *(GArray *const *)(const void *)((const char *)&callers[i] + offset);
       g_array_append_vals (all, part->data, part->len);
     }
-  if (all->len > 0)
-    qsort (all->data, all->len, sizeof (double), compare_doubles);
+  statistics_sort ((double *)(void *)all->data, all->len);
   return all;
 }
 
@@ -165,9 +151,10 @@
   for (int i = 0; i < 3; i++)
     printf (
         ",\"direct_%s_ms\":%.3f,\"through_%s_ms\":%.3f,\"added_%s_ms\":%.3f,\"pair_%s_ms\":%.3f",
-        names[i], percentile (direct, shares[i]), names[i], percentile (through, shares[i]),
-        names[i], percentile (through, shares[i]) - percentile (direct, shares[i]), names[i],
-        percentile (pairs, shares[i]));
+        names[i], statistics_percentile (direct, shares[i]), names[i],
+        statistics_percentile (through, shares[i]), names[i],
+        statistics_percentile (through, shares[i]) - statistics_percentile (direct, shares[i]),
+        names[i], statistics_percentile (pairs, shares[i]));
   printf (",\"daemon_cpu_us_a_request\":%.0f}\n", cpu_us / (through->len / 0.9));
 }
 
--- a/bench/bench_slopes.c
+++ b/bench/bench_slopes.c
@@ -384,25 +384,11 @@
 {
   g_autoptr (GBytes) copy = target_copy ();
   GsLogClient *client = gs_log_client_new (url, 20000);
-  gsize length;
-  const char *bytes = g_bytes_get_data (copy, &length);
-  GsSnapshotChunk chunk = { .snapshot = gs_hash_bytes (bytes, length, 0), .position = 1 };
+  uint32_t records;
+  bool done = gs_log_append_snapshot (client, "config", copy, TARGET_WORKSPACES, &records);
 
-  /* the copy states the position of its own edits; the log here is shorter, so state it anew */
-  chunk.position = TARGET_WORKSPACES;
-  chunk.count = (uint32_t)((length + GS_SNAPSHOT_CHUNK_BYTES - 1) / GS_SNAPSHOT_CHUNK_BYTES);
-  for (chunk.index = 0; chunk.index < chunk.count; chunk.index++)
-    {
-      g_autoptr (GBytes) record = NULL;
-      size_t at = (size_t)chunk.index * GS_SNAPSHOT_CHUNK_BYTES;
-      chunk.bytes = bytes + at;
-      chunk.length = MIN (length - at, GS_SNAPSHOT_CHUNK_BYTES);
-      record = gs_record_encode_snapshot (&chunk);
-      if (gs_log_append (client, "config", record, NULL) != GS_APPEND_DONE)
-        return 1;
-    }
   gs_log_client_free (client);
-  return 0;
+  return done ? 0 : 1;
 }
 
 int
--- a/bench/fake_pool.c
+++ b/bench/fake_pool.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "statistics.h"
+
 enum
 {
   FAKE_DAEMONS_MAX = 64,
@@ -601,22 +603,11 @@
   push (fake, (Happen){ .at_us = fake->now_us, .kind = HAPPEN_TICK, .daemon = daemon });
 }
 
-static int
-compare_doubles (const void *left, const void *right)
-{
-  double a = *(const double *)left;
-  double b = *(const double *)right;
-
-  return a < b ? -1 : a > b;
-}
-
 static double
 p99 (GArray *values)
 {
-  if (values->len == 0)
-    return 0;
-  qsort (values->data, values->len, sizeof (double), compare_doubles);
-  return g_array_index (values, double, (guint)((values->len - 1) * 0.99));
+  statistics_sort ((double *)(void *)values->data, values->len);
+  return statistics_percentile (values, 0.99);
 }
 
 static void
--- a/src/gentian/daemon/follower.c
+++ b/src/gentian/daemon/follower.c
@@ -303,30 +303,18 @@
 append_snapshot (GsFollower *follower)
 {
   g_autoptr (GBytes) copy = NULL;
-  GsSnapshotChunk chunk = { 0 };
-  gsize length;
-  const char *bytes;
+  uint64_t position;
+  uint32_t records;
   const GsCore *core = gs_engine_lock (follower->engine);
 
-  chunk.position = gs_fold_position (gs_core_fold (core));
+  position = gs_fold_position (gs_core_fold (core));
   copy = gs_copy_encode (gs_core_fold (core), 0);
   gs_engine_unlock (follower->engine);
-  bytes = g_bytes_get_data (copy, &length);
-  chunk.snapshot = gs_hash_bytes (bytes, length, 0);
-  chunk.count = (uint32_t)((length + GS_SNAPSHOT_CHUNK_BYTES - 1) / GS_SNAPSHOT_CHUNK_BYTES);
-  for (chunk.index = 0; chunk.index < chunk.count; chunk.index++)
-    {
-      g_autoptr (GBytes) record = NULL;
-      size_t at = (size_t)chunk.index * GS_SNAPSHOT_CHUNK_BYTES;
-      chunk.bytes = bytes + at;
-      chunk.length = MIN (length - at, GS_SNAPSHOT_CHUNK_BYTES);
-      record = gs_record_encode_snapshot (&chunk);
-      if (gs_log_append (follower->config_client, GS_CONFIG_STREAM, record, NULL) != GS_APPEND_DONE)
-        return; /* tried again when it is due */
-    }
+  if (!gs_log_append_snapshot (follower->config_client, GS_CONFIG_STREAM, copy, position, &records))
+    return; /* tried again when it is due */
   follower->last_snapshot_ms = follower->log_now_ms;
   gs_log (GS_NOTICE_SNAPSHOT_APPENDED, "position=%" G_GUINT64_FORMAT " bytes=%zu records=%u",
-          chunk.position, length, chunk.count);
+          position, g_bytes_get_size (copy), records);
 }
 
 static uint32_t
--- a/src/gentian/platform/log_client.c
+++ b/src/gentian/platform/log_client.c
@@ -7,6 +7,7 @@
 
 #include "../log/counter.h"
 #include "pack.h"
+#include "record.h"
 
 enum
 {
@@ -136,6 +137,34 @@
   return result;
 }
 
+bool
+gs_log_append_snapshot (GsLogClient *client,
+                        const char *stream,
+                        GBytes *copy,
+                        uint64_t position,
+                        uint32_t *records)
+{
+  gsize length;
+  const char *bytes = g_bytes_get_data (copy, &length);
+  GsSnapshotChunk chunk
+      = { .snapshot = gs_hash_bytes (bytes, length, 0),
+          .position = position,
+          .count = (uint32_t)((length + GS_SNAPSHOT_CHUNK_BYTES - 1) / GS_SNAPSHOT_CHUNK_BYTES) };
+
+  for (chunk.index = 0; chunk.index < chunk.count; chunk.index++)
+    {
+      g_autoptr (GBytes) record = NULL;
+      size_t at = (size_t)chunk.index * GS_SNAPSHOT_CHUNK_BYTES;
+      chunk.bytes = bytes + at;
+      chunk.length = MIN (length - at, GS_SNAPSHOT_CHUNK_BYTES);
+      record = gs_record_encode_snapshot (&chunk);
+      if (gs_log_append (client, stream, record, NULL) != GS_APPEND_DONE)
+        return false;
+    }
+  *records = chunk.count;
+  return true;
+}
+
 static void
 free_record (gpointer data)
 {
--- a/src/gentian/platform/log_client.h
+++ b/src/gentian/platform/log_client.h
@@ -63,6 +63,17 @@
 GsAppendResult
 gs_log_append (GsLogClient *client, const char *stream, GBytes *bytes, uint64_t *offset);
 
+/**
+ * Appends COPY, which reaches POSITION, to STREAM as a snapshot in as many RECORDS as it takes.
+ *
+ * RETURN VALUE: false when a record was not appended for certain; the rest is left out then.
+ */
+bool gs_log_append_snapshot (GsLogClient *client,
+                             const char *stream,
+                             GBytes *copy,
+                             uint64_t position,
+                             uint32_t *records);
+
 /** Reads at most LIMIT records of STREAM from FROM on. RETURN VALUE: false when there is no answer.
  */
 bool gs_log_read (GsLogClient *client,
--- a/test/standin/caller.c
+++ b/test/standin/caller.c
@@ -14,6 +14,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../bench/statistics.h"
+
 typedef struct
 {
   char **fleet;
@@ -492,23 +494,6 @@
   return broken;
 }
 
-static int
-compare_doubles (const void *left, const void *right)
-{
-  double a = *(const double *)left;
-  double b = *(const double *)right;
-
-  return a < b ? -1 : a > b;
-}
-
-static double
-percentile (GArray *values, double share)
-{
-  if (values->len == 0)
-    return 0;
-  return g_array_index (values, double, (guint)((values->len - 1) * share));
-}
-
 static int
 report (const Worker *workers)
 {
@@ -526,8 +511,7 @@
       for (int j = 0; j < END_COUNT; j++)
         counts[j] += workers[i].counts[j];
     }
-  if (latencies->len > 0)
-    qsort (latencies->data, latencies->len, sizeof (double), compare_doubles);
+  statistics_sort ((double *)(void *)latencies->data, latencies->len);
   counts[END_WRONG] += broken.false_not_run + broken.false_whole;
   printf ("{\"requests\":%" G_GUINT64_FORMAT ",\"whole\":%" G_GUINT64_FORMAT
           ",\"not_run\":%" G_GUINT64_FORMAT ",\"may_have_run\":%" G_GUINT64_FORMAT
@@ -538,8 +522,8 @@
           ",\"get_p50_ms\":%.2f,\"get_p99_ms\":%.2f,\"get_p999_ms\":%.2f}\n",
           requests, counts[END_WHOLE], counts[END_NOT_RUN], counts[END_MAY_HAVE_RUN],
           counts[END_RAN], counts[END_BROKEN], counts[END_WRONG], counts[END_CUT], broken.twice,
-          broken.false_not_run, postings, percentile (latencies, 0.5), percentile (latencies, 0.99),
-          percentile (latencies, 0.999));
+          broken.false_not_run, postings, statistics_percentile (latencies, 0.5),
+          statistics_percentile (latencies, 0.99), statistics_percentile (latencies, 0.999));
   return counts[END_WRONG] + counts[END_CUT] + broken.twice > 0 ? 1 : 0;
 }
 
