Keep signs of leaving until they are called back, and a may-have-run out of the kept answers

Cause: reading the change: any edit of a workspace called leaving upstreams back; a standby forgot signs for pools it did not serve yet; a request that may be repeated waited out a frozen home to its deadline; a home's may-have-run counted as the answer of a right at the daemon that had forwarded to it. Ruled out: relying on the upstream's own word (it costs one request at each home, and some do not say it). Change: the row's own word calls back only what it sent away; signs are kept an hour and applied when a pool is first served; forwards of repeatable requests end with the attempt's time; such an answer ends as uncertain. Conclusion: leaving holds across edits and failover.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -6,6 +6,10 @@
 #define CORE_EVIDENCE_PERIOD_US (50 * GS_US_PER_MS)
 /** Share of the threshold from which evidence is worth telling. */
 #define CORE_EVIDENCE_SHARE 0.1
+/** The platform's list may name a leaving upstream as live for this long. */
+#define CORE_LIST_LAG_US (60 * GS_US_PER_S)
+/** How long a sign of leaving is kept for pools that are not served here yet. */
+#define CORE_SIGN_MEMORY_US (3600 * GS_US_PER_S)
 
 static void
 free_pool_state (gpointer data)
@@ -52,6 +56,7 @@
   core->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->crash_sites = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  core->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->own_claims = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   core->crashes = gs_crashes_new ();
   core->tickets = gs_tickets_new ();
@@ -67,6 +72,7 @@
   g_hash_table_destroy (core->attempts);
   g_hash_table_destroy (core->crash_sites);
   g_hash_table_destroy (core->own_claims);
+  g_hash_table_destroy (core->leaving);
   g_hash_table_destroy (core->pools);
   gs_crashes_free (core->crashes);
   gs_tickets_free (core->tickets);
@@ -114,6 +120,22 @@
   return gs_table_pool (core->table, state->workspace, state->name);
 }
 
+/* Signs that came before the pool was served here. */
+static void
+apply_signs (GsCore *core, GsPool *pool)
+{
+  GHashTableIter iter;
+  gpointer id;
+  gpointer at_us;
+
+  g_hash_table_iter_init (&iter, core->leaving);
+  while (g_hash_table_iter_next (&iter, &id, &at_us))
+    if (core->now_us - *(int64_t *)at_us > CORE_SIGN_MEMORY_US)
+      g_hash_table_iter_remove (&iter);
+    else
+      gs_pool_leave (pool, id, core->now_us);
+}
+
 /* Run-time state of a pool that this daemon serves from now on. */
 GsPool *
 core_serve_pool (GsCore *core, PoolState *state)
@@ -128,6 +150,7 @@
     return state->pool;
   state->pool = gs_pool_new (&options);
   state->queue = gs_queue_new ();
+  apply_signs (core, state->pool);
   core_refresh_homes (core, state);
   gs_pool_set_sharers (state->pool, (uint8_t)MAX (state->n_active, 1));
   core_report_changes (core, state);
@@ -389,12 +412,26 @@
                        &effect);
 }
 
+static void
+remember_sign (GsCore *core, const GsUpstreamSign *sign)
+{
+  const int64_t *at_us = g_hash_table_lookup (core->leaving, sign->upstream);
+
+  if (sign->leaving)
+    g_hash_table_replace (core->leaving, g_strdup (sign->upstream),
+                          g_memdup2 (&core->now_us, sizeof core->now_us));
+  else if (at_us != NULL && core->now_us - *at_us > CORE_LIST_LAG_US)
+    g_hash_table_remove (core->leaving, sign->upstream);
+}
+
 static void
 take_sign (GsCore *core, const GsUpstreamSign *sign)
 {
   GHashTableIter iter;
   gpointer value;
 
+  remember_sign (core, sign);
+
   g_hash_table_iter_init (&iter, core->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -113,6 +113,7 @@
   GHashTable *requests;    /* id -> Request */
   GHashTable *attempts;    /* id -> Attempt */
   GHashTable *crash_sites; /* upstream key -> CrashSite */
+  GHashTable *leaving;     /* ids of upstreams that were said to leave -> time */
   GHashTable *own_claims;  /* claim -> OwnClaim, while it has not been read back */
   GsCrashes *crashes;
   GsTickets *tickets;
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -58,6 +58,7 @@
   uint32_t ipv4;
   uint16_t port;
   GsUpstreamState state;
+  bool row_leaving; /* its row said so last */
   uint32_t outstanding;
   uint16_t unreachable;
   uint16_t late;
@@ -676,9 +677,12 @@
 {
   for (uint16_t i = 0; i < row->n_upstreams; i++)
     {
-      if (row->upstreams[i].leaving)
-        gs_pool_leave (pool, row->upstreams[i].id, now_us);
-      else if (pool->upstreams[i].state == GS_UPSTREAM_LEAVING)
+      Upstream *upstream = &pool->upstreams[i];
+      bool called_back = upstream->row_leaving && !row->upstreams[i].leaving;
+      upstream->row_leaving = row->upstreams[i].leaving;
+      if (upstream->row_leaving)
+        gs_pool_leave (pool, upstream->id, now_us);
+      else if (called_back && upstream->state == GS_UPSTREAM_LEAVING)
         start_warming (pool, i, now_us, "stays");
     }
 }
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -14,6 +14,8 @@
 
 /** Connections lost at one upstream within this time belong to one crash. */
 #define CRASH_SPAN_US (200 * GS_US_PER_MS)
+/** What a forwarded attempt may take beyond an attempt at an upstream. */
+#define FORWARD_EXTRA_US (500 * GS_US_PER_MS)
 /** A second crash of an upstream within this time is held against the upstream. */
 #define CRASH_REPEAT_US (60 * GS_US_PER_S)
 
@@ -110,6 +112,17 @@
   return effect;
 }
 
+/* A request that may be repeated does not wait out a daemon that is frozen. */
+static int64_t
+forward_timeout_us (const GsCore *core, const Request *request)
+{
+  int64_t left_us = request->deadline_us - core->now_us;
+
+  if (request->repeat != GS_REPEAT_SAFE || request->right.kind != GS_RIGHT_NONE)
+    return left_us;
+  return MIN (left_us, request->attempt_timeout_us + FORWARD_EXTRA_US);
+}
+
 void
 request_forward_to (GsCore *core, Request *request, const GsMemberFact *member, bool with_right)
 {
@@ -122,7 +135,7 @@
   effect->ipv4 = member->ipv4;
   effect->port = member->entry_port;
   effect->with_right = with_right;
-  effect->timeout_us = request->deadline_us - core->now_us;
+  effect->timeout_us = forward_timeout_us (core, request);
   core_notice (core, GS_NOTICE_FORWARDED, "request=%" G_GUINT64_FORMAT " pool=%s to=%s reason=%s",
                request->id, request->pool->name, member->id,
                with_right ? "holder-of-right" : "home");
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -300,7 +300,7 @@
 
 /* What a whole answer means: a refusal that states it was not run, an error, or success. */
 static GsOutcome
-judge_answer (const GsExchange *exchange, bool forward)
+judge_answer (const GsExchange *exchange, bool forward, bool with_right)
 {
   const char *verdict = gs_exchange_header (exchange, "Gentian-Verdict");
 
@@ -308,6 +308,8 @@
     return gs_exchange_header (exchange, "Gentian-Leaving") != NULL && !forward
                ? GS_OUTCOME_LEAVING
                : GS_OUTCOME_REFUSED;
+  if (forward && !with_right && verdict != NULL && strcmp (verdict, "may-have-run") == 0)
+    return GS_OUTCOME_TIMEOUT; /* the home does not know; a right must not count as answered */
   if (gs_exchange_status (exchange) >= 500 && !forward)
     return GS_OUTCOME_ERROR;
   return GS_OUTCOME_OK;
@@ -390,7 +392,7 @@
   outcome = gs_exchange_outcome (passage->exchange);
   if (gs_exchange_state (passage->exchange) == GS_EXCHANGE_WHOLE)
     {
-      outcome = judge_answer (passage->exchange, effect->forward);
+      outcome = judge_answer (passage->exchange, effect->forward, effect->with_right);
       note_leaving (passage, effect->target);
       if (!effect->with_right)
         keep_answer (passage, outcome);
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -390,6 +390,51 @@
 }
 END_TEST
 
+/* A standby that hears of a leaving upstream before it serves the pool. */
+START_TEST (signs_are_kept_for_pools_that_are_not_served_yet)
+{
+  Fixture fixture = fixture_new (2, GS_REPEAT_SAFE);
+  GsEvent sign = { .kind = GS_EVENT_UPSTREAM_SIGN, .sign = { .upstream = "u0", .leaving = true } };
+
+  fixture_reduce (&fixture, &sign);
+  for (uint64_t i = 1; i <= 4; i++)
+    {
+      ck_assert_uint_ne (fixture_request (&fixture, i, i), 0);
+      ck_assert_uint_ne (fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.port, 1);
+    }
+  fixture_free (&fixture);
+}
+END_TEST
+
+START_TEST (safe_requests_do_not_wait_out_a_frozen_home)
+{
+  Fixture fixture = fixture_new (2, GS_REPEAT_SAFE);
+  GsMemberFact member = fixture_member ("other", "d1");
+  GsProbe probe = { .kind = GS_PROBE_PING };
+  GsEvent event = { .kind = GS_EVENT_PROBE, .probe = &probe };
+  int forwarded = 0;
+
+  for (int i = 0; i < 20; i++)
+    {
+      g_snprintf (member.id, sizeof member.id, "other-%d", i);
+      probe.from = member;
+      fixture_reduce (&fixture, &event);
+    }
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      const GsEffect *effect;
+      fixture_request (&fixture, i, i);
+      effect = fixture_find (&fixture, GS_EFFECT_ATTEMPT);
+      if (!effect->attempt.forward)
+        continue;
+      forwarded++;
+      ck_assert_int_lt (effect->attempt.timeout_us, 1000 * GS_US_PER_MS);
+    }
+  ck_assert_int_gt (forwarded, 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (same_seed_same_effects)
 {
   Fixture one = fixture_new (6, GS_REPEAT_SAFE);
@@ -436,4 +481,6 @@
               &requests_that_only_shared_a_crash_go_on,
               &one_upstream_that_drops_connections_condemns_no_request,
               &a_late_caller_leaves_nothing_behind,
+              &signs_are_kept_for_pools_that_are_not_served_yet,
+              &safe_requests_do_not_wait_out_a_frozen_home,
               &same_seed_same_effects)
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -213,6 +213,26 @@
 }
 END_TEST
 
+START_TEST (an_unrelated_edit_calls_nobody_back)
+{
+  GsDocument *document = fixture_tables (3, GS_REPEAT_SAFE);
+  GsPool *pool = pool_of (document, 0);
+
+  gs_pool_leave (pool, "u0", SECOND);
+  document->pools[0].slots = 5;
+  gs_pool_update (pool, &document->pools[0], 2 * SECOND);
+  ck_assert_int_eq (state_of (pool, 0), GS_UPSTREAM_LEAVING);
+  document->pools[0].upstreams[1].leaving = true;
+  gs_pool_update (pool, &document->pools[0], 3 * SECOND);
+  ck_assert_int_eq (state_of (pool, 1), GS_UPSTREAM_LEAVING);
+  document->pools[0].upstreams[1].leaving = false;
+  gs_pool_update (pool, &document->pools[0], 4 * SECOND);
+  ck_assert_int_eq (state_of (pool, 1), GS_UPSTREAM_WARMING);
+  gs_pool_free (pool);
+  gs_document_free (document);
+}
+END_TEST
+
 START_TEST (another_homes_word_alone_ejects_nobody)
 {
   GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
@@ -237,4 +257,5 @@
               &whole_pool_failing_ejects_nobody,
               &a_slow_upstream_is_tried_again,
               &edit_keeps_what_is_known,
+              &an_unrelated_edit_calls_nobody_back,
               &another_homes_word_alone_ejects_nobody)
