Release a claim ahead when its append is not read back in time

Cause: reading: a claim whose append was lost stayed open for ever at its daemon, so every resend of the key got may-have-run although nothing ran, and the posting was lost. Ruled out: forgetting the claim after a while (its record may still come and win). Change: its release is appended at once; a released claim never holds, also when its record comes after.

--- a/src/gentian/core/claim.c
+++ b/src/gentian/core/claim.c
@@ -134,19 +134,41 @@
   return knows_key (claims, &record->key) ? GS_CLAIM_WON : GS_CLAIM_STALE;
 }
 
-GsClaimResult
-gs_claims_fold (GsClaims *claims, const GsClaimRecord *record, int64_t log_ms)
+/* A released claim never holds again, also when its own record comes only later. */
+static void
+fold_release (GsClaims *claims, const GsClaimRecord *record, int64_t log_ms)
 {
   KeyEntry *entry;
 
+  if (!inside_window (claims, &record->key, log_ms))
+    return;
+  entry = entry_of (claims, &record->key);
+  if (entry->claim == record->claim && entry->state == GS_KEY_DONE)
+    return;
+  if (entry->claim == record->claim && entry->state == GS_KEY_CLAIMED)
+    entry->state = GS_KEY_FREE;
+  if (!was_released (entry, record->claim))
+    entry->released[entry->n_released++ % CLAIM_RELEASED_MAX] = record->claim;
+}
+
+static void
+fold_done (GsClaims *claims, const GsClaimRecord *record)
+{
+  KeyEntry *entry = g_hash_table_lookup (claims->keys, &record->key);
+
+  if (entry != NULL && entry->claim == record->claim && entry->state == GS_KEY_CLAIMED)
+    entry->state = GS_KEY_DONE;
+}
+
+GsClaimResult
+gs_claims_fold (GsClaims *claims, const GsClaimRecord *record, int64_t log_ms)
+{
   if (record->kind == GS_CLAIM_TAKE)
     return fold_take (claims, record, log_ms);
-  entry = g_hash_table_lookup (claims->keys, &record->key);
-  if (entry == NULL || entry->claim != record->claim || entry->state != GS_KEY_CLAIMED)
-    return GS_CLAIM_LOST;
-  entry->state = record->kind == GS_CLAIM_DONE ? GS_KEY_DONE : GS_KEY_FREE;
   if (record->kind == GS_CLAIM_RELEASE)
-    entry->released[entry->n_released++ % CLAIM_RELEASED_MAX] = record->claim;
+    fold_release (claims, record, log_ms);
+  else
+    fold_done (claims, record);
   return GS_CLAIM_LOST;
 }
 
--- a/src/gentian/core/right.c
+++ b/src/gentian/core/right.c
@@ -321,6 +321,7 @@
 
   if (record->kind == GS_CLAIM_RELEASE)
     {
+      g_hash_table_remove (core->own_claims, &record->claim);
       release_read_back (core, record->claim);
       return;
     }
@@ -386,7 +387,9 @@
 {
   bool appended = request->claim != 0;
 
-  request->claim = 0; /* a claim that is read back later is released then */
+  if (appended && request->phase == REQUEST_WAITS_FOR_LOG)
+    append (core, GS_CLAIM_RELEASE, request); /* void it, whether or not its record ever comes */
+  request->claim = 0;
   refuse (core, request, GS_VERDICT_MAY_HAVE_RUN,
           appended ? "claim-not-read-back" : "log-not-read");
 }
--- a/test/model/claim.pml
+++ b/test/model/claim.pml
@@ -49,6 +49,7 @@
        if
        :: log_kind[i] == TAKE && holder == 0 && released[log_claim[i]] == 0 -> holder = log_claim[i]
        :: log_kind[i] == RELEASE && holder == log_claim[i] -> holder = 0; released[log_claim[i]] = 1
+       :: log_kind[i] == RELEASE && holder != log_claim[i] -> released[log_claim[i]] = 1
        :: else -> skip
        fi;
        i++
@@ -83,6 +84,7 @@
   append (TAKE, mine);
   if
   :: goto endagain /* a crash: the incarnation is gone, nobody dispatches this claim */
+  :: append (RELEASE, mine); goto endagain /* not read back in time: void it ahead, "may have run" */
   :: skip
   fi;
   /* read back: some prefix of the log that holds the own record */
--- a/test/property/prop_claim.cpp
+++ b/test/property/prop_claim.cpp
@@ -59,7 +59,8 @@
   std::map<std::string, int> runs;
   std::map<std::pair<int, uint64_t>, std::string> open;
   std::map<std::pair<int, uint64_t>, int> request_runs;
-  std::map<std::pair<int, uint64_t>, int> forwarded_runs; // by origin and its attempt
+  // By origin and its attempt; an origin that starts anew numbers its attempts anew.
+  std::map<std::pair<int, uint64_t>, int> forwarded_runs;
   int64_t log_ms = 1000000;
   int64_t now_us = 1000 * GS_US_PER_S;
   uint64_t next_request = 0;
@@ -107,6 +108,8 @@
     for (auto it = origins.begin (); it != origins.end ();)
       it = it->first.first == daemon || it->second.origin == daemon ? origins.erase (it)
                                                                     : std::next (it);
+    for (auto it = forwarded_runs.begin (); it != forwarded_runs.end ();)
+      it = it->first.first == daemon ? forwarded_runs.erase (it) : std::next (it);
     std::vector<Forward> travelling;
     for (const Forward &forward : forwards)
       if (forward.origin != daemon)
--- a/test/unit/test_claim.c
+++ b/test/unit/test_claim.c
@@ -45,6 +45,20 @@
 }
 END_TEST
 
+/* A claim whose append was lost is given back ahead of time: if its record comes late, it takes
+ * nothing. */
+START_TEST (a_release_ahead_of_its_claim_voids_it)
+{
+  GsClaims *claims = gs_claims_new ();
+
+  gs_claims_set_covered (claims, 0);
+  fold (claims, GS_CLAIM_RELEASE, 7, T);
+  ck_assert_int_eq (fold (claims, GS_CLAIM_TAKE, 7, T), GS_CLAIM_LOST);
+  ck_assert_int_eq (fold (claims, GS_CLAIM_TAKE, 8, T), GS_CLAIM_WON);
+  gs_claims_free (claims);
+}
+END_TEST
+
 START_TEST (done_stays)
 {
   GsClaims *claims = gs_claims_new ();
@@ -149,6 +163,7 @@
 FIXTURE_MAIN ("claim",
               &first_claim_wins,
               &release_frees_and_late_copies_do_not_take_again,
+              &a_release_ahead_of_its_claim_voids_it,
               &done_stays,
               &old_keys_are_stale,
               &a_reader_that_knows_too_little_wins_nothing,
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -306,6 +306,25 @@
 }
 END_TEST
 
+START_TEST (a_lost_append_does_not_lose_the_key_for_ever)
+{
+  Fixture fixture = fixture_new (3, GS_REPEAT_NEVER);
+  GsClaimRecord release;
+
+  cover_all (&fixture);
+  with_key (&fixture, 1, "1700000000000-a");
+  fixture_tick (&fixture, 2 * GS_US_PER_S);
+  release = fixture_find (&fixture, GS_EFFECT_APPEND_CLAIM)->claim;
+  ck_assert_int_eq (release.kind, GS_CLAIM_RELEASE);
+  with_key (&fixture, 2, "1700000000000-a");
+  ck_assert_int_eq (rejection (&fixture)->verdict, GS_VERDICT_MAY_HAVE_RUN);
+  read_back (&fixture, &release);
+  with_key (&fixture, 3, "1700000000000-a");
+  ck_assert_int_eq (fixture_find (&fixture, GS_EFFECT_APPEND_CLAIM)->claim.kind, GS_CLAIM_TAKE);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (not_run_waits_for_the_release)
 {
   Fixture fixture = fixture_new (1, GS_REPEAT_NEVER);
@@ -476,6 +495,7 @@
               &a_lost_claim_is_not_dispatched,
               &a_log_that_is_away_means_not_run,
               &an_unsettled_claim_is_given_back_when_it_appears,
+              &a_lost_append_does_not_lose_the_key_for_ever,
               &not_run_waits_for_the_release,
               &a_crashing_request_is_refused_after_two,
               &requests_that_only_shared_a_crash_go_on,
