Leave keys on other routes to the upstream

Cause: reading: any request with an Idempotency-Key was claimed in the log, also on routes that are not marked never-repeat, so a caller with a key of another form got 422 there; and a forwarded request lost the header. Ruled out: accepting other forms on never-repeat routes (without its time a key cannot outlive the log safely). Change: rights count on never-repeat routes only; between daemons the header travels under another name and reaches the upstream; answers are kept where a right is held. Conclusion: the protection is the route's choice, as the tables say.

--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -218,7 +218,8 @@
   uint32_t ipv4;
   uint16_t port;
   bool forward;
-  bool with_right; /**< pass the right on with a forwarded request */
+  bool with_right;  /**< pass the right on with a forwarded request */
+  bool keep_answer; /**< the answer belongs to a right that this daemon holds */
   int64_t timeout_us;
   int64_t deadline_us;
 } GsAttemptEffect;
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -106,6 +106,8 @@
   *effect = (GsAttemptEffect){ .request = request->id,
                                .attempt = attempt->id,
                                .forward = attempt->forward,
+                               .keep_answer
+                               = request->right.kind != GS_RIGHT_NONE && !attempt->with_right,
                                .deadline_us = request->deadline_us,
                                .timeout_us = MIN (request->attempt_timeout_us, left_us) };
   g_strlcpy (effect->target, attempt->target, sizeof effect->target);
@@ -311,7 +313,8 @@
   request->arrived_us = core->now_us;
   request->deadline_us = core->now_us + (int64_t)timeout_ms * GS_US_PER_MS;
   request->hop = event->hop;
-  request->right = event->right;
+  if (route->repeat == GS_REPEAT_NEVER)
+    request->right = event->right; /* on other routes a key is the upstream's own matter */
   request->right.key = NULL;
   g_hash_table_insert (core->requests, &request->id, request);
   gs_budget_earn (&request->pool->budget);
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -20,6 +20,7 @@
   ENTRY_RIGHT_MAX = GS_TICKET_TEXT_MAX + 16, /* of the name under which an answer is kept */
 };
 
+#define ENTRY_PASSED_KEY "Gentian-Passed-Key"
 #define ENTRY_WAIT_US (20 * GS_US_PER_MS)
 /** Inactivity after which a large answer counts as broken off. */
 #define ENTRY_STREAM_TIMEOUT_US (30 * GS_US_PER_S)
@@ -253,7 +254,7 @@
 }
 
 static bool
-is_passed_on (const char *name, bool forward, bool with_right)
+is_passed_on (const char *name, bool with_right)
 {
   if (gs_header_is_hop (name) || g_ascii_strcasecmp (name, "Gentian-Hop") == 0
       || g_ascii_strcasecmp (name, "Gentian-Timeout-Ms") == 0
@@ -261,11 +262,23 @@
     return false;
   if (g_ascii_strcasecmp (name, "Gentian-Ticket") == 0)
     return with_right;
-  if (g_ascii_strcasecmp (name, "Idempotency-Key") == 0)
-    return with_right || !forward;
   return true;
 }
 
+/*
+ * A key goes on to the upstream, but a home that gets a request without its right must not claim it
+ * again: there the header travels under another name.
+ */
+static const char *
+passed_name (const char *name, const GsAttemptEffect *attempt)
+{
+  if (attempt->forward && !attempt->with_right && g_ascii_strcasecmp (name, "Idempotency-Key") == 0)
+    return ENTRY_PASSED_KEY;
+  if (!attempt->forward && g_ascii_strcasecmp (name, ENTRY_PASSED_KEY) == 0)
+    return "Idempotency-Key";
+  return name;
+}
+
 static GPtrArray *
 make_headers (Passage *passage, const GsAttemptEffect *attempt)
 {
@@ -274,11 +287,13 @@
   int64_t left_us = attempt->deadline_us - g_get_monotonic_time ();
 
   for (int i = 0; names[i] != NULL; i++)
-    if (is_passed_on (names[i], attempt->forward, attempt->with_right))
+    if (is_passed_on (names[i], attempt->with_right))
       {
         const char *value = u_map_get (passage->request->map_header, names[i]);
-        g_ptr_array_add (headers, *value != '\0' ? g_strdup_printf ("%s: %s", names[i], value)
-                                                 : g_strdup_printf ("%s;", names[i]));
+        g_ptr_array_add (headers,
+                         *value != '\0'
+                             ? g_strdup_printf ("%s: %s", passed_name (names[i], attempt), value)
+                             : g_strdup_printf ("%s;", passed_name (names[i], attempt)));
       }
   g_ptr_array_add (headers, g_strdup ("Expect:"));
   g_ptr_array_add (headers,
@@ -394,7 +409,7 @@
     {
       outcome = judge_answer (passage->exchange, effect->forward, effect->with_right);
       note_leaving (passage, effect->target);
-      if (!effect->with_right)
+      if (effect->keep_answer)
         keep_answer (passage, outcome);
     }
   post_attempt_end (passage, outcome);
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -268,6 +268,17 @@
 }
 END_TEST
 
+START_TEST (a_key_on_another_route_is_the_upstreams_matter)
+{
+  Fixture fixture = fixture_new (3, GS_REPEAT_ONCE);
+
+  with_key (&fixture, 1, "any text");
+  ck_assert_ptr_nonnull (fixture_find (&fixture, GS_EFFECT_ATTEMPT));
+  ck_assert (!fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.keep_answer);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (a_lost_claim_is_not_dispatched)
 {
   Fixture fixture = fixture_new (3, GS_REPEAT_NEVER);
@@ -506,6 +517,7 @@
               &a_homes_uncertainty_answers_no_right,
               &another_incarnations_ticket_never_runs,
               &a_key_is_dispatched_only_after_it_was_read_back,
+              &a_key_on_another_route_is_the_upstreams_matter,
               &a_lost_claim_is_not_dispatched,
               &a_log_that_is_away_means_not_run,
               &an_unsettled_claim_is_given_back_when_it_appears,
