Remove what the change made dead, and one look-up of two

Change: the dead code is gone, GS_LIST_LAG_US serves both places, one function judges an attempt's age.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -6,8 +6,6 @@
 #define CORE_EVIDENCE_PERIOD_US (50 * GS_US_PER_MS)
 /** Share of the threshold from which evidence is worth telling. */
 #define CORE_EVIDENCE_SHARE 0.1
-/** The platform's list may name a leaving upstream as live for this long. */
-#define CORE_LIST_LAG_US (60 * GS_US_PER_S)
 /** How long a sign of leaving is kept for pools that are not served here yet. */
 #define CORE_SIGN_MEMORY_US (3600 * GS_US_PER_S)
 
@@ -422,7 +420,7 @@
   if (sign->leaving)
     g_hash_table_replace (core->leaving, g_strdup (sign->upstream),
                           g_memdup2 (&core->now_us, sizeof core->now_us));
-  else if (at_us != NULL && core->now_us - *at_us > CORE_LIST_LAG_US)
+  else if (at_us != NULL && core->now_us - *at_us > GS_LIST_LAG_US)
     g_hash_table_remove (core->leaving, sign->upstream);
 }
 
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -98,7 +98,6 @@
   GsOutcome outcome;
   int64_t answer_us; /**< time to the first byte of the answer */
   bool committed;    /**< part of the answer has been passed on to the caller */
-  bool kept_connection;
 } GsAttemptEndEvent;
 
 typedef struct
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -20,8 +20,6 @@
 #define POOL_PEER_EVIDENCE_US (200 * GS_US_PER_MS)
 /** After this time the kept connections to an upstream may have gone silent again. */
 #define POOL_FRESH_US (10 * GS_US_PER_S)
-/** The platform's list may name a leaving upstream as live for this long. */
-#define POOL_LIST_LAG_US (60 * GS_US_PER_S)
 #define POOL_SHED_BACKOFF_US (50 * GS_US_PER_MS)
 #define POOL_LATENCY_FIRST_US (20 * GS_US_PER_MS)
 #define POOL_OVERDUE_MIN_US (100 * GS_US_PER_MS)
@@ -416,12 +414,6 @@
   return (int64_t)(pool->latency_us * POOL_LATE_FACTOR);
 }
 
-void
-gs_pool_blame (GsPool *pool, uint16_t upstream, int64_t now_us)
-{
-  add_failure (pool, upstream, now_us);
-}
-
 int64_t
 gs_pool_overdue_us (const GsPool *pool)
 {
@@ -458,7 +450,7 @@
   int index = gs_pool_find (pool, id);
 
   if (index < 0 || pool->upstreams[index].state != GS_UPSTREAM_LEAVING
-      || now_us - pool->upstreams[index].left_at_us < POOL_LIST_LAG_US)
+      || now_us - pool->upstreams[index].left_at_us < GS_LIST_LAG_US)
     return;
   gs_detector_begin_trial (pool->detector, (uint16_t)index);
   change_state (pool, (uint16_t)index, GS_UPSTREAM_TRIAL, "listed-live");
--- a/src/gentian/core/pool.h
+++ b/src/gentian/core/pool.h
@@ -22,6 +22,9 @@
 #include "detector.h"
 #include "table.h"
 
+/** The platform's list may name a leaving upstream as live for this long. */
+#define GS_LIST_LAG_US (60 * GS_US_PER_S)
+
 typedef enum
 {
   GS_UPSTREAM_HEALTHY = 0,
@@ -132,9 +135,6 @@
 /** RETURN VALUE: age in microseconds at which a running attempt is overdue. */
 int64_t gs_pool_overdue_us (const GsPool *pool);
 
-/** Counts one failure against UPSTREAM that had been held back (see crash.h). */
-void gs_pool_blame (GsPool *pool, uint16_t upstream, int64_t now_us);
-
 /** Marks the upstream with id ID as leaving. RETURN VALUE: true when it had not been. */
 bool gs_pool_leave (GsPool *pool, const char *id, int64_t now_us);
 
--- a/src/gentian/core/queue.c
+++ b/src/gentian/core/queue.c
@@ -126,19 +126,6 @@
       = (Entry){ .waiting = *waiting, .start = queue->virtual_time, .order = 0 };
 }
 
-bool
-gs_queue_pop_expired (GsQueue *queue, int64_t latest_us, GsWaiting *waiting)
-{
-  for (uint32_t i = 0; i < queue->length; i++)
-    if (queue->entries[i].waiting.deadline_us < latest_us)
-      {
-        *waiting = queue->entries[i].waiting;
-        remove_at (queue, i);
-        return true;
-      }
-  return false;
-}
-
 bool
 gs_queue_remove (GsQueue *queue, uint64_t request)
 {
--- a/src/gentian/core/queue.h
+++ b/src/gentian/core/queue.h
@@ -44,10 +44,6 @@
 /** Puts a popped WAITING back in front of its flow. */
 void gs_queue_unpop (GsQueue *queue, const GsWaiting *waiting);
 
-/** Takes a request that waits in vain: its deadline is before LATEST_US. RETURN VALUE: false if
- * none. */
-bool gs_queue_pop_expired (GsQueue *queue, int64_t latest_us, GsWaiting *waiting);
-
 /** Removes REQUEST where it waits. RETURN VALUE: true when it did. */
 bool gs_queue_remove (GsQueue *queue, uint64_t request);
 
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -630,31 +630,33 @@
 }
 
 static void
-count_one_overdue (GsCore *core, Attempt *attempt)
+count_overdue (GsCore *core, Attempt *attempt, uint16_t index)
 {
   GsPool *pool = attempt->pool->pool;
-  int index = gs_pool_find_key (pool, attempt->upstream);
   GsUpstreamView view;
 
-  if (index < 0)
-    return;
   attempt->counted = true;
-  gs_pool_view (pool, (uint16_t)index, &view);
-  if (gs_pool_overdue (pool, (uint16_t)index, attempt->started_us, core->now_us))
+  gs_pool_view (pool, index, &view);
+  if (gs_pool_overdue (pool, index, attempt->started_us, core->now_us))
     drop_connections (core, &view, "overdue");
-  core_report_changes (core, attempt->pool);
 }
 
 static void
-count_one_late (GsCore *core, Attempt *attempt)
+judge_age (GsCore *core, Attempt *attempt)
 {
   GsPool *pool = attempt->pool->pool;
-  int index = gs_pool_find_key (pool, attempt->upstream);
+  int64_t age_us = core->now_us - attempt->started_us;
+  bool late = !attempt->late && age_us >= gs_pool_late_us (pool);
+  bool overdue = !attempt->counted && age_us >= gs_pool_overdue_us (pool);
+  int index = late || overdue ? gs_pool_find_key (pool, attempt->upstream) : -1;
 
-  attempt->late = true;
   if (index < 0)
     return;
-  gs_pool_late (pool, (uint16_t)index, core->now_us - attempt->started_us, core->now_us);
+  attempt->late = attempt->late || late;
+  if (late)
+    gs_pool_late (pool, (uint16_t)index, age_us, core->now_us);
+  if (overdue)
+    count_overdue (core, attempt, (uint16_t)index);
   core_report_changes (core, attempt->pool);
 }
 
@@ -669,13 +671,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Attempt *attempt = value;
-      int64_t age_us = core->now_us - attempt->started_us;
-      if (attempt->forward || attempt->began)
-        continue;
-      if (!attempt->late && age_us >= gs_pool_late_us (attempt->pool->pool))
-        count_one_late (core, attempt);
-      if (!attempt->counted && age_us >= gs_pool_overdue_us (attempt->pool->pool))
-        count_one_overdue (core, attempt);
+      if (!attempt->forward && !attempt->began)
+        judge_age (core, attempt);
     }
 }
 
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -373,8 +373,7 @@
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
                     .attempt_end = { .attempt = passage->attempt,
                                      .outcome = outcome,
-                                     .answer_us = gs_exchange_answer_us (passage->exchange),
-                                     .kept_connection = gs_exchange_kept (passage->exchange) } };
+                                     .answer_us = gs_exchange_answer_us (passage->exchange) } };
 
   gs_engine_post (passage->entry->engine, &event);
 }
@@ -523,8 +522,7 @@
                     .attempt_end = { .attempt = stream->attempt,
                                      .outcome = outcome,
                                      .answer_us = gs_exchange_answer_us (stream->exchange),
-                                     .committed = true,
-                                     .kept_connection = gs_exchange_kept (stream->exchange) } };
+                                     .committed = true } };
 
   if (stream->broken)
     gs_counter_add (GS_COUNTER_ANSWERS_BROKEN, 1);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -581,12 +581,6 @@
   return exchange->first_byte_us != 0 ? exchange->first_byte_us - exchange->started_us : 0;
 }
 
-bool
-gs_exchange_kept (const GsExchange *exchange)
-{
-  return exchange->kept;
-}
-
 const char *
 gs_exchange_header (const GsExchange *exchange, const char *name)
 {
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -84,9 +84,6 @@
 /** RETURN VALUE: time to the first byte of the answer, in microseconds. */
 int64_t gs_exchange_answer_us (const GsExchange *exchange);
 
-/** RETURN VALUE: true when a kept connection was used. */
-bool gs_exchange_kept (const GsExchange *exchange);
-
 /** RETURN VALUE: value of header NAME of the answer, or NULL. */
 const char *gs_exchange_header (const GsExchange *exchange, const char *name);
 
