Take the answer of a home as final, so that a crashing request is not run at another home

Cause: beside six busy processes, one of six runs of the crash part of test_failures crashed a third server. The home refused the request after two crashes and answered may-have-run; the daemon that had forwarded it tried again, as a standby itself, 10 ms before the home's news of the second crash had reached it. A forwarded request so had the attempts of two daemons. Ruled out: crashes counted once for two losses at one server (crash numbers in the log differ); a home that had died (it answered). Change: an answer "may have run" of a home is not retried elsewhere: the home has made the attempts that the request may have. Test: a_homes_answer_is_final (test_core), failed first. Conclusion: what remains is a home that dies between the crashes and its news: then the next home may crash two more.

--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -573,6 +573,8 @@
 {
   bool safe = request->repeat == GS_REPEAT_SAFE && request->right.kind == GS_RIGHT_NONE;
 
+  if (outcome == GS_OUTCOME_UNCERTAIN)
+    return false; /* the home has made the attempts that the request may have */
   if (gs_outcome_verdict (outcome) != GS_VERDICT_NOT_RUN && !safe)
     return false;
   if (request->n_attempts >= CORE_ATTEMPTS_MAX || request->deadline_us <= core->now_us)
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -449,20 +449,28 @@
 }
 END_TEST
 
-START_TEST (safe_requests_do_not_wait_out_a_frozen_home)
+/* Makes twenty more daemons known, so that this one is home of hardly any pool. */
+static void
+join_many (Fixture *fixture)
 {
-  Fixture fixture = fixture_new (2, GS_REPEAT_SAFE);
   GsMemberFact member = fixture_member ("other", "d1");
   GsProbe probe = { .kind = GS_PROBE_PING };
   GsEvent event = { .kind = GS_EVENT_PROBE, .probe = &probe };
-  int forwarded = 0;
 
   for (int i = 0; i < 20; i++)
     {
       g_snprintf (member.id, sizeof member.id, "other-%d", i);
       probe.from = member;
-      fixture_reduce (&fixture, &event);
+      fixture_reduce (fixture, &event);
     }
+}
+
+START_TEST (safe_requests_do_not_wait_out_a_frozen_home)
+{
+  Fixture fixture = fixture_new (2, GS_REPEAT_SAFE);
+  int forwarded = 0;
+
+  join_many (&fixture);
   for (uint64_t i = 1; i <= 3; i++)
     {
       const GsEffect *effect;
@@ -478,6 +486,25 @@
 }
 END_TEST
 
+/*
+ * The home has made the attempts that the request may have. Its news of crashes can arrive after
+ * its answer, so another home would run a crashing request again.
+ */
+START_TEST (a_homes_answer_is_final)
+{
+  Fixture fixture = fixture_new (6, GS_REPEAT_SAFE);
+  uint64_t attempt;
+
+  join_many (&fixture);
+  attempt = fixture_request (&fixture, 1, 666);
+  ck_assert (fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.forward);
+  ck_assert_uint_eq (fixture_end (&fixture, attempt, GS_OUTCOME_UNCERTAIN), 0);
+  ck_assert_ptr_nonnull (fixture_find (&fixture, GS_EFFECT_ANSWER));
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (one_active_home_tells_nobody_of_its_evidence)
 {
   Fixture fixture = fixture_new (6, GS_REPEAT_SAFE);
@@ -554,5 +581,6 @@
               &a_late_caller_leaves_nothing_behind,
               &signs_are_kept_for_pools_that_are_not_served_yet,
               &safe_requests_do_not_wait_out_a_frozen_home,
+              &a_homes_answer_is_final,
               &one_active_home_tells_nobody_of_its_evidence,
               &same_seed_same_effects)
