Serve latency histograms on the metrics address

Change: log/histogram, 17 fixed logarithmic buckets each for requests, waits for a slot, attempts and calls of the store; catalogue held to the code both ways.

--- a/src/gentian/http/admin.c
+++ b/src/gentian/http/admin.c
@@ -7,6 +7,7 @@
 #include "../config/tables.h"
 #include "../daemon/follower.h"
 #include "../log/counter.h"
+#include "../log/histogram.h"
 #include "../store/log_client.h"
 #include "../store/record.h"
 
@@ -486,7 +487,9 @@
 static int
 get_metrics (const struct _u_request *request, struct _u_response *response, void *data)
 {
-  g_autofree char *text = gs_counter_render ();
+  g_autofree char *counters = gs_counter_render ();
+  g_autofree char *histograms = gs_histogram_render ();
+  g_autofree char *text = g_strconcat (counters, histograms, NULL);
 
   (void)request;
   (void)data;
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -7,6 +7,7 @@
 #include <ulfius.h>
 
 #include "../log/counter.h"
+#include "../log/histogram.h"
 #include "../log/log.h"
 #include "entries.h"
 #include "kept.h"
@@ -59,8 +60,10 @@
   bool forwarded;
   char attempt_text[24]; /* number of the attempt, for its echo */
   GsCallerLimits limits;
-  bool told_late; /* the reducer knows that the attempt is late */
-  bool has_next;  /* the next attempt was granted while this one ran */
+  int64_t came_us; /* when it had been read */
+  bool attempted;  /* a first attempt has begun */
+  bool told_late;  /* the reducer knows that the attempt is late */
+  bool has_next;   /* the next attempt was granted while this one ran */
   GsEffect next;
 } Passage;
 
@@ -543,10 +546,15 @@
     options.deadline_us = effect->deadline_us;
   g_clear_pointer (&passage->exchange, gs_exchange_free);
   gs_counter_add (effect->forward ? GS_COUNTER_FORWARDS : GS_COUNTER_ATTEMPTS, 1);
+  if (!passage->attempted)
+    gs_histogram_add (GS_HISTOGRAM_SLOT_WAIT, g_get_monotonic_time () - passage->came_us);
+  passage->attempted = true;
   passage->attempt = effect->attempt;
   passage->forwarded = effect->forward;
   passage->exchange = gs_exchange_new (gs_engine_client (passage->entry->engine), &options);
   gs_exchange_run (passage->exchange);
+  if (gs_exchange_answer_us (passage->exchange) > 0)
+    gs_histogram_add (GS_HISTOGRAM_ATTEMPT, gs_exchange_answer_us (passage->exchange));
   if (gs_exchange_state (passage->exchange) == GS_EXCHANGE_LARGE
       && judge (passage, effect) == GS_OUTCOME_OK)
     return true;
@@ -780,6 +788,7 @@
   const char *reason;
 
   gs_counter_add (GS_COUNTER_REQUESTS, 1);
+  passage.came_us = g_get_monotonic_time ();
   gs_engine_open (entry->engine, &passage.waiter);
   passage.caller_fd = caller_socket (entry, request);
   passage.limits = gs_engine_caller_limits (entry->engine);
@@ -802,6 +811,7 @@
       follow (&passage);
     }
   close_when_stopping (entry, response);
+  gs_histogram_add (GS_HISTOGRAM_REQUEST, g_get_monotonic_time () - passage.came_us);
   g_clear_pointer (&passage.exchange, gs_exchange_free);
   gs_engine_close (entry->engine, &passage.waiter);
   return U_CALLBACK_COMPLETE;
--- a/src/gentian/store/log_client.c
+++ b/src/gentian/store/log_client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../log/counter.h"
+#include "../log/histogram.h"
 #include "pack.h"
 #include "record.h"
 
@@ -86,6 +87,7 @@
 {
   g_autofree char *url = g_strconcat (client->base_url, path, NULL);
   struct curl_slist *headers = NULL;
+  int64_t began_us = g_get_monotonic_time ();
   long status = 0;
   gsize length = 0;
   gconstpointer bytes = body != NULL ? g_bytes_get_data (body, &length) : NULL;
@@ -106,6 +108,7 @@
   curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, headers);
   if (curl_easy_perform (client->curl) == CURLE_OK)
     curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &status);
+  gs_histogram_add (GS_HISTOGRAM_STORE_CALL, g_get_monotonic_time () - began_us);
   curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, NULL);
   curl_slist_free_all (headers);
   if (status != 200)
--- a/test/unit/test_docs.c
+++ b/test/unit/test_docs.c
@@ -3,6 +3,7 @@
 #include "../../src/gentian/config/tables.h"
 #include "../../src/gentian/http/kept.h"
 #include "../../src/gentian/log/counter.h"
+#include "../../src/gentian/log/histogram.h"
 #include "../../src/gentian/log/log.h"
 #include "fixture.h"
 
@@ -55,6 +56,24 @@
 }
 END_TEST
 
+START_TEST (every_histogram_is_in_the_catalogue)
+{
+  g_autofree char *text = read_doc ("docs/operators/METRICS.md");
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  size_t rows = 0;
+
+  for (int i = 0; i < GS_HISTOGRAM_COUNT; i++)
+    {
+      g_autofree char *row
+          = g_strdup_printf ("| histogram `%s` |", gs_histogram_name ((GsHistogram)i));
+      ck_assert_msg (strstr (text, row) != NULL, "no row %s", row);
+    }
+  for (int i = 0; lines[i] != NULL; i++)
+    rows += g_str_has_prefix (lines[i], "| histogram `") ? 1 : 0;
+  ck_assert_uint_eq (rows, GS_HISTOGRAM_COUNT);
+}
+END_TEST
+
 START_TEST (references_are_current)
 {
   g_autofree char *settings = gs_settings_reference ();
@@ -101,6 +120,7 @@
 FIXTURE_MAIN ("docs",
               &every_event_is_in_the_catalogue,
               &every_counter_is_in_the_catalogue,
+              &every_histogram_is_in_the_catalogue,
               &references_are_current,
               &counters_render,
               &kept_answers_are_bounded)
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -74,8 +74,8 @@
 }
 
 /*
- * A busy machine makes COUNT upstreams answer late for a moment, each PAUSE steps; the last of six is
- * upstream 2. That one is slow by 20 in between, and gets an answer each half second.
+ * A busy machine makes COUNT upstreams answer late for a moment, each PAUSE steps; the last of six
+ * is upstream 2. That one is slow by 20 in between, and gets an answer each half second.
  */
 static void
 expect_slow_one_ejected (uint16_t count, int pause)
@@ -104,10 +104,7 @@
   gs_document_free (document);
 }
 
-START_TEST (moments_when_all_are_late_hide_no_slow_upstream)
-{
-  expect_slow_one_ejected (6, 60);
-}
+START_TEST (moments_when_all_are_late_hide_no_slow_upstream) { expect_slow_one_ejected (6, 60); }
 END_TEST
 
 START_TEST (moments_when_the_others_are_late_hide_no_slow_upstream)
