Leave late attempts to finish while their upstream is sound

Eight of nine price lists that failed by deadline had been cut like this at upstreams believed sound, and eight stock lookups were cut for a look at an upstream believed failing by 66 to 95%, which lost them. Ruled out: slow upstreams (beliefs of 1 to 5%, other answers in time). Change: the ask for a slot in place of a running attempt names its grant. The placer grants only if that attempt's upstream is more likely failing than not, its own lateness counted, or if the attempt is twice as old as the limit of slow answers; and only at an upstream that is believed sound. The edge tells every 0.5 s that it is still late. The lab draws a request's work once, not at each server. What still fails is once-only work that an upstream resets, and upstreams' own errors.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -84,6 +84,7 @@
   bool arrived_upstream; /* an attempt reached an upstream, which may have refused it */
   bool holds_answer;     /* the last attempt's answer can still be passed on */
   uint64_t attempt;      /* the newest one; an older one may still be ended by the edge */
+  uint64_t grant;        /* its slot */
   bool asking;           /* an ask is under way, also while an attempt runs late */
   uint64_t ask;          /* its token */
   uint64_t asked;        /* hash of the daemon that was asked; 0: this one */
--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -42,6 +42,9 @@
 #define PLACER_PRESSING_DURATIONS 1.3
 /** Shortest wait for an answer before a request that may be repeated is tried elsewhere. */
 #define PLACER_ATTEMPT_MIN_US (400 * GS_US_PER_MS)
+/** An attempt that has run for so many times the limit of slow answers is given up wherever it
+ * runs: a tenth of the slow answers of a sound server take longer. */
+#define PLACER_STUCK_FACTOR 2
 /** Durations are unknown at the start: then an attempt may take this part of the time left. */
 #define PLACER_ATTEMPT_SHARE 0.6
 /** Spread of the times at which refused requests return, as part of the wait. */
@@ -106,7 +109,7 @@
   static const char *const reasons[] = {
     "least-expected-loss", "fresh-evidence",    "pressing",    "no-free-slot",
     "no-slot-in-time",     "no-other-upstream", "queue-full",  "deadline-out-of-reach",
-    "crashes-upstreams",   "repeat-budget",     "no-upstream",
+    "crashes-upstreams",   "repeat-budget",     "no-upstream", "attempt-may-finish",
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (reasons); i++)
@@ -222,7 +225,8 @@
 
   reply.retry_after_ms = after_ms;
   push_reply (placer, &reply);
-  gs_slots_note_served (placer->slots, false, now_us);
+  if (ask->running == 0)
+    gs_slots_note_served (placer->slots, false, now_us);
 }
 
 static int64_t
@@ -272,6 +276,7 @@
                           .repeatable = ask->repeat == GS_REPEAT_SAFE && !ask->last,
                           .pressing = is_pressing (placer, ask, now_us),
                           .crowded = placer->waiting->len > 1,
+                          .no_look = ask->running != 0,
                           .tried = ask->tried,
                           .n_tried = ask->n_tried };
   GsSlotChosen chosen;
@@ -468,6 +473,54 @@
   push_reply (placer, &reply);
 }
 
+static void
+report_turn (GsPlacer *placer, const GsSlotTurn *turn, GsOutcome outcome, bool by_age)
+{
+  GsBeliefChange change = { .failing = turn->failing,
+                            .failing_ppm = (uint32_t)(turn->probability * 1e6),
+                            .outcome = outcome,
+                            .by_age = by_age };
+
+  if (placer->changes.length >= PLACER_CHANGES_MAX)
+    return;
+  g_strlcpy (change.upstream_id, turn->id, sizeof change.upstream_id);
+  g_queue_push_tail (&placer->changes, g_memdup2 (&change, sizeof change));
+}
+
+/* Holds the age of a running attempt against its upstream, once. */
+static void
+judge_age (GsPlacer *placer, Grant *grant, int64_t now_us)
+{
+  GsSlotTurn turn;
+
+  if (grant->judged
+      || now_us - grant->started_us <= gs_durations_slow_us (&placer->durations, grant->flow))
+    return;
+  grant->judged = true;
+  if (gs_slots_observe (placer->slots, grant->reply.upstream, grant->reply.origin, GS_SIGN_SLOW,
+                        now_us, &turn))
+    report_turn (placer, &turn, GS_OUTCOME_TIMEOUT, true);
+}
+
+/*
+ * Whether a late attempt is better begun anew elsewhere. Most late ones are long requests, which
+ * would take as long anywhere; so its upstream must be suspected, or the attempt be far too old.
+ */
+static bool
+is_stuck (GsPlacer *placer, uint64_t running, int64_t now_us)
+{
+  Grant *grant = g_hash_table_lookup (placer->grants, &running);
+  int64_t slow_us;
+
+  if (grant == NULL)
+    return true; /* of another placer: nothing is known of it here */
+  judge_age (placer, grant, now_us);
+  slow_us = gs_durations_slow_us (&placer->durations, grant->flow);
+  return slow_us == INT64_MAX /* too little is known of such requests */
+         || gs_slots_suspects (placer->slots, grant->reply.upstream, now_us)
+         || (now_us - grant->started_us) / PLACER_STUCK_FACTOR > slow_us;
+}
+
 /* RETURN VALUE: why the request must not be placed at all, or NULL. */
 static const char *
 why_not_place (GsPlacer *placer, const GsPlaceAsk *ask, int64_t now_us)
@@ -475,6 +528,8 @@
   if (gs_crashes_refused (placer->crashed, ask->fingerprint, now_us)
       || gs_crashes_refused (placer->lost, ask->fingerprint, now_us))
     return "crashes-upstreams";
+  if (ask->running != 0 && !is_stuck (placer, ask->running, now_us))
+    return "attempt-may-finish";
   if (ask->again && !gs_repeats_spend (&placer->repeats, now_us))
     return "repeat-budget";
   return NULL;
@@ -515,20 +570,6 @@
     wait_or_refuse (placer, waiting, now_us);
 }
 
-static void
-report_turn (GsPlacer *placer, const GsSlotTurn *turn, GsOutcome outcome, bool by_age)
-{
-  GsBeliefChange change = { .failing = turn->failing,
-                            .failing_ppm = (uint32_t)(turn->probability * 1e6),
-                            .outcome = outcome,
-                            .by_age = by_age };
-
-  if (placer->changes.length >= PLACER_CHANGES_MAX)
-    return;
-  g_strlcpy (change.upstream_id, turn->id, sizeof change.upstream_id);
-  g_queue_push_tail (&placer->changes, g_memdup2 (&change, sizeof change));
-}
-
 static void
 note_loss (GsPlacer *placer, uint64_t upstream, uint64_t fingerprint, int64_t now_us)
 {
@@ -677,21 +718,6 @@
   serve_waiting (placer, now_us);
 }
 
-/* Holds the age of a running attempt against its upstream, once. */
-static void
-judge_age (GsPlacer *placer, Grant *grant, int64_t now_us)
-{
-  GsSlotTurn turn;
-
-  if (grant->judged
-      || now_us - grant->started_us <= gs_durations_slow_us (&placer->durations, grant->flow))
-    return;
-  grant->judged = true;
-  if (gs_slots_observe (placer->slots, grant->reply.upstream, grant->reply.origin, GS_SIGN_SLOW,
-                        now_us, &turn))
-    report_turn (placer, &turn, GS_OUTCOME_TIMEOUT, true);
-}
-
 void
 gs_placer_tick (GsPlacer *placer, int64_t now_us)
 {
--- a/src/gentian/core/placer.h
+++ b/src/gentian/core/placer.h
@@ -53,6 +53,7 @@
   uint8_t priority; /**< 0 is the most urgent */
   bool again;       /**< the request has reached an upstream before */
   bool last;        /**< the request may not be sent anywhere after this */
+  uint64_t running; /**< grant of the request's late attempt, which a new one ends; 0: none */
   uint8_t n_tried;
   uint64_t tried[GS_PLACE_TRIED_MAX]; /**< keys of upstreams that are not wanted */
   int64_t deadline_us;                /**< an answer later than this is worth nothing */
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -155,6 +155,8 @@
                      .deadline_us = request->deadline_us,
                      .target_us = request->target_us };
 
+  if (request->phase == REQUEST_RUNNING)
+    ask.running = request->grant;
   g_strlcpy (ask.label, request->label, sizeof ask.label);
   for (uint8_t i = 0; i < request->n_tried && ask.n_tried < GS_PLACE_TRIED_MAX; i++)
     ask.tried[ask.n_tried++] = request->tried[i];
@@ -302,6 +304,7 @@
   request->holds_answer = false;
   attempt = request_start_attempt (core, request, reply->upstream, reply->upstream_id);
   attempt->grant = reply->grant;
+  request->grant = reply->grant;
   attempt->token = reply->token;
   attempt->again = request->arrived_upstream;
   attempt->placer = *from;
@@ -523,8 +526,8 @@
     end_unplaced (core, request, gs_outcome_name (event->outcome), PLACING_RETRY_MS);
 }
 
-/* An attempt is late: where it may be made elsewhere, asks for a slot; the late one goes on until
- * it is granted. */
+/* An attempt is late, or still is: where it may be made elsewhere, asks for a slot; the late one
+ * goes on until it is granted. */
 void
 placing_attempt_late (GsCore *core, uint64_t id)
 {
--- a/src/gentian/core/slots.c
+++ b/src/gentian/core/slots.c
@@ -312,9 +312,9 @@
 static double
 acceptable (const GsSlotChoice *choice)
 {
-  if (choice->pressing)
+  if (choice->pressing && !choice->no_look)
     return SLOTS_LIMIT_PRESSING;
-  return choice->repeatable ? SLOTS_LIMIT_REPEATABLE : SLOTS_LIMIT_ONCE;
+  return choice->repeatable && !choice->no_look ? SLOTS_LIMIT_REPEATABLE : SLOTS_LIMIT_ONCE;
 }
 
 static double
@@ -372,7 +372,7 @@
       double cost;
       if (is_excluded (upstream, choice) || !has_room (upstream, choice->now_us))
         continue;
-      wanted = wants_evidence (slots, upstream, choice);
+      wanted = !choice->no_look && wants_evidence (slots, upstream, choice);
       if (failing > limit && !wanted)
         continue;
       cost = cost_of (slots, upstream, choice, failing);
@@ -525,6 +525,15 @@
   slots->failures = slots->failures * kept + (served ? 0 : 1);
 }
 
+bool
+gs_slots_suspects (const GsSlots *slots, uint64_t key, int64_t now_us)
+{
+  const Upstream *upstream = find (slots, key);
+
+  return upstream == NULL
+         || gs_belief_failing (&upstream->belief, &slots->rates, now_us) >= SLOTS_TURN;
+}
+
 uint32_t
 gs_slots_capacity (const GsSlots *slots, int64_t now_us)
 {
--- a/src/gentian/core/slots.h
+++ b/src/gentian/core/slots.h
@@ -30,6 +30,7 @@
   bool repeatable; /**< a failed attempt may be made again elsewhere */
   bool pressing;   /**< waiting for a better upstream costs more than a bad one */
   bool crowded;    /**< other requests wait for slots of this pool */
+  bool no_look;    /**< upstreams are not wanted that are suspected to fail */
   const uint64_t *tried;
   uint8_t n_tried;
 } GsSlotChoice;
@@ -104,6 +105,9 @@
 /** Notes whether a request of the pool was served, for the share that fails. */
 void gs_slots_note_served (GsSlots *slots, bool served, int64_t now_us);
 
+/** RETURN VALUE: whether the upstream with KEY is more likely failing than not. */
+bool gs_slots_suspects (const GsSlots *slots, uint64_t key, int64_t now_us);
+
 /** RETURN VALUE: slots, free or not, of upstreams that the pool relies on. */
 uint32_t gs_slots_capacity (const GsSlots *slots, int64_t now_us);
 
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -27,6 +27,8 @@
 
 #define ENTRY_PASSED_KEY "Gentian-Passed-Key"
 #define ENTRY_WAIT_US (100 * GS_US_PER_MS)
+/** The reducer is told again after this that an attempt is late: beliefs may have changed. */
+#define ENTRY_LATE_AGAIN_US (500 * GS_US_PER_MS)
 /** Inactivity after which a large answer counts as broken off. */
 #define ENTRY_STREAM_TIMEOUT_US (30 * GS_US_PER_S)
 
@@ -60,10 +62,10 @@
   bool forwarded;
   char attempt_text[24]; /* number of the attempt, for its echo */
   GsCallerLimits limits;
-  int64_t came_us; /* when it had been read */
-  bool attempted;  /* a first attempt has begun */
-  bool told_late;  /* the reducer knows that the attempt is late */
-  bool has_next;   /* the next attempt was granted while this one ran */
+  int64_t came_us;      /* when it had been read */
+  bool attempted;       /* a first attempt has begun */
+  int64_t told_late_us; /* when the reducer was told last that the attempt is late; 0: not yet */
+  bool has_next;        /* the next attempt was granted while this one ran */
   GsEffect next;
 } Passage;
 
@@ -511,10 +513,13 @@
 {
   Passage *passage = data;
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_LATE, .attempt_late = passage->attempt };
+  int64_t now_us = g_get_monotonic_time ();
 
-  if (!passage->told_late)
-    gs_engine_post (passage->entry->engine, &event);
-  passage->told_late = true;
+  if (now_us - passage->told_late_us >= ENTRY_LATE_AGAIN_US)
+    {
+      passage->told_late_us = now_us;
+      gs_engine_post (passage->entry->engine, &event);
+    }
   passage->has_next
       = passage->has_next
         || gs_engine_next (passage->entry->engine, &passage->waiter, 0, &passage->next);
@@ -541,7 +546,7 @@
   options.late_us = effect->late_us;
   options.late = take_next;
   options.late_data = passage;
-  passage->told_late = false;
+  passage->told_late_us = 0;
   if (!passage->entry->dialect->verdicts)
     options.deadline_us = effect->deadline_us;
   g_clear_pointer (&passage->exchange, gs_exchange_free);
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -190,6 +190,7 @@
   msgpack_pack_uint8 (packer, (uint8_t)((ask->again ? 1 : 0) | (ask->last ? 2 : 0)));
   msgpack_pack_uint64 (packer, (uint64_t)MAX (ask->deadline_us, 0));
   msgpack_pack_uint64 (packer, (uint64_t)MAX (ask->target_us, 0));
+  msgpack_pack_uint64 (packer, ask->running);
   msgpack_pack_array (packer, ask->n_tried);
   for (uint8_t i = 0; i < ask->n_tried; i++)
     msgpack_pack_uint64 (packer, ask->tried[i]);
@@ -217,6 +218,7 @@
   ask->last = (flags & 2) != 0;
   ask->deadline_us = (int64_t)gs_read_uint (reader, INT32_MAX * GS_US_PER_MS);
   ask->target_us = (int64_t)gs_read_uint (reader, INT32_MAX * GS_US_PER_MS);
+  ask->running = gs_read_uint (reader, UINT64_MAX);
   list = gs_read_array (reader);
   if (reader->failed || list.failed || list.length > GS_PLACE_TRIED_MAX)
     {
@@ -332,7 +334,7 @@
     case GS_WIRE_NEWS:
       return 8;
     case GS_WIRE_PLACE_ASK:
-      return 15;
+      return 16;
     case GS_WIRE_PLACE_REPLY:
       return 18;
     case GS_WIRE_PLACE_END:
--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -20,6 +20,8 @@
 #define LAB_CALLER_US 2000
 /** Period at which a daemon's edge looks for a grant while an attempt is late. */
 #define LAB_LATE_US (40 * GS_US_PER_MS)
+/** Time after which the edge tells again that an attempt is late. */
+#define LAB_LATE_AGAIN_US (500 * GS_US_PER_MS)
 /** Registrations are told to all daemons at this period. */
 #define LAB_NEWS_US (800 * GS_US_PER_MS)
 
@@ -49,6 +51,7 @@
   uint32_t domain;
   int64_t began_us;
   int64_t work_us; /* of the run that served it */
+  double need_ms;  /* work that it takes at a sound server, at each of them; 0: not drawn yet */
   uint32_t tries;
   uint32_t runs;
   bool done;
@@ -70,6 +73,7 @@
   bool queued;
   bool ended; /* its end is on the way to the daemon, or was told */
   bool superseded;
+  bool checked; /* the edge looks whether another attempt was granted */
 };
 
 typedef struct
@@ -737,8 +741,11 @@
   const LabKind *kind = work->call->kind;
   const LabFault *slow = fault_at (lab, work->pool, work->upstream, LAB_FAULT_SLOW);
   double mu = log (kind->work_ms) - kind->spread * kind->spread / 2;
-  double ms = exp (mu + kind->spread * normal (lab)) * (slow != NULL ? slow->x : 1);
+  double ms;
 
+  if (work->call->need_ms == 0)
+    work->call->need_ms = exp (mu + kind->spread * normal (lab));
+  ms = work->call->need_ms * (slow != NULL ? slow->x : 1);
   work->running = true;
   work->work_us = (int64_t)(ms * (double)GS_US_PER_MS);
   lab->upstreams[work->pool][work->upstream].running++;
@@ -879,10 +886,13 @@
 {
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_LATE, .attempt_late = work->attempt };
 
-  if (work->ended || lab->daemons[work->daemon].dead)
+  if (work->ended || lab->daemons[work->daemon].dead || work->superseded)
     return;
   post (lab, work->daemon, &event);
-  push (lab, lab->now_us + LAB_LATE_US, AT_LATE_CHECK)->work = work;
+  push (lab, lab->now_us + LAB_LATE_AGAIN_US, AT_LATE)->work = work;
+  if (!work->checked)
+    push (lab, lab->now_us + LAB_LATE_US, AT_LATE_CHECK)->work = work;
+  work->checked = true;
 }
 
 /* The edge looks now and then whether another attempt was granted. */
--- a/test/unit/test_load.c
+++ b/test/unit/test_load.c
@@ -42,6 +42,30 @@
   return options;
 }
 
+/* Reads of price lists as the users describe them: slow, and of very different length. */
+static LabOptions
+price_lists (double load)
+{
+  LabOptions options = { .n_daemons = 32, .length_s = 25 };
+  LabPool pool = { .name = "prices", .n_upstreams = 8, .slots = SLOTS, .queue = 16 };
+  LabKind kind = { .name = "price-list",
+                   .pool = "prices",
+                   .repeat = GS_REPEAT_SAFE,
+                   .priority = 2,
+                   .per_s = 8 * SLOTS / 1.3 * load,
+                   .work_ms = 1300,
+                   .spread = 0.8,
+                   .error_share = 0.012,
+                   .target_ms = 3000,
+                   .deadline_ms = 8000,
+                   .worth = 1,
+                   .late_worth = 0.3 };
+
+  lab_add_pool (&options, &pool);
+  lab_add_kind (&options, &kind);
+  return options;
+}
+
 static LabFault
 fault (LabFaultKind kind, uint16_t count, double from_s, double to_s, double x)
 {
@@ -76,6 +100,7 @@
       sum.attempts += one.attempts;
       sum.collisions += one.collisions;
       sum.lost += one.lost;
+      sum.repeats += one.repeats;
       sum.repeats_window_max = MAX (sum.repeats_window_max, one.repeats_window_max);
       for (uint32_t i = 0; i < options->n_faults; i++)
         {
@@ -83,10 +108,11 @@
           sum.used[i] += one.used[i];
         }
     }
-  printf ("%s: worth %.3f served %.3f collisions %.4f lost %u at-fault %u used %u repeats %u\n",
+  printf ("%s: worth %.3f served %.3f collisions %.4f lost %u at-fault %u used %u repeated %u "
+          "repeats %u\n",
           pattern, lab_worth (&sum.all), lab_served (&sum.all),
           (double)sum.collisions / MAX (sum.attempts, 1), sum.lost, sum.at_faulty[0], sum.used[0],
-          sum.repeats_window_max);
+          sum.repeats, sum.repeats_window_max);
   return sum;
 }
 
@@ -254,6 +280,34 @@
 }
 END_TEST
 
+/*
+ * Work that takes long takes as long elsewhere: of price lists with a mean of 1.3 s and a sigma of
+ * 0.8, 0.4% take beyond the 8 s that the caller waits, and 3% beyond three deviations. Less than
+ * one in 100 is to be begun anew, which leaves servers' own errors, and nearly all are served.
+ */
+START_TEST (long_requests_are_left_to_finish)
+{
+  LabOptions options = price_lists (0.4);
+  LabResult result = play ("long requests", &options);
+
+  ck_assert_double_le (result.repeats, (0.01 + 0.012) * result.attempts);
+  ck_assert_double_ge (lab_served (&result.all), 1 - 0.004 - 0.004);
+}
+END_TEST
+
+/* Three of eight servers hang for ten of 25 s: what was sent to them is begun anew in time. */
+START_TEST (repeatable_requests_survive_servers_that_hang)
+{
+  LabOptions options = price_lists (0.3);
+  LabFault hang = fault (LAB_FAULT_HANG, 3, 5, 15, 1);
+  LabResult result;
+
+  lab_add_fault (&options, &hang);
+  result = play ("three hang", &options);
+  ck_assert_double_ge (lab_served (&result.all), 1 - 0.004 - 0.03);
+}
+END_TEST
+
 /* With repeats the same faults cost a request that may be repeated next to nothing. */
 START_TEST (repeatable_requests_survive_faults_at_any_time)
 {
@@ -328,6 +382,8 @@
               &servers_that_join_get_work,
               &faults_at_any_time_cost_a_third_of_an_even_spread,
               &repeatable_requests_survive_faults_at_any_time,
+              &long_requests_are_left_to_finish,
+              &repeatable_requests_survive_servers_that_hang,
               &a_lost_home_costs_only_what_is_in_flight,
               &callers_that_crowd_one_daemon_do_no_worse,
               &the_urgent_are_served_and_the_others_not_starved)
--- a/test/unit/test_placer.c
+++ b/test/unit/test_placer.c
@@ -403,6 +403,88 @@
 }
 END_TEST
 
+/* Asks for a slot in place of the late attempt GRANTED, which began at BEGAN_US. */
+static GsPlaceReply
+ask_in_place_of (Bed *bed, const GsPlaceReply *granted, int64_t began_us)
+{
+  GsPlaceAsk ask = new_ask (bed, GS_REPEAT_SAFE);
+
+  ask.running = granted->grant;
+  ask.again = true;
+  ask.tried[ask.n_tried++] = granted->upstream;
+  ask.deadline_us = began_us + 8 * SECOND;
+  ask.target_us = began_us + 1500 * MS;
+  return put (bed, &ask);
+}
+
+/* A long request takes as long anywhere, so it is left where it runs while its upstream answers. */
+START_TEST (a_late_attempt_at_a_sound_upstream_is_left_to_finish)
+{
+  Bed bed = bed_new (3);
+  GsPlaceReply granted;
+  GsPlaceReply reply;
+  int64_t began_us;
+
+  warm_up (&bed, 40);
+  began_us = bed.now_us;
+  granted = ask_one (&bed, GS_REPEAT_SAFE);
+  bed.now_us += 700 * MS; /* slow from 620 ms on */
+  reply = ask_in_place_of (&bed, &granted, began_us);
+  ck_assert_int_eq (reply.verdict, GS_PLACE_REFUSED);
+  ck_assert_str_eq (reply.reason, "attempt-may-finish");
+  bed.now_us += 800 * MS; /* far too old, wherever it runs */
+  ck_assert_int_eq (ask_in_place_of (&bed, &granted, began_us).verdict, GS_PLACE_GRANTED);
+  gs_placer_free (bed.placer);
+}
+END_TEST
+
+START_TEST (a_late_attempt_at_a_suspect_is_begun_anew_at_a_sound_upstream)
+{
+  Bed bed = bed_new (3);
+  GsPlaceReply granted[6];
+  GsPlaceReply reply;
+  int64_t began_us;
+
+  warm_up (&bed, 40);
+  began_us = bed.now_us;
+  for (int i = 0; i < 6; i++) /* all slots */
+    granted[i] = ask_one (&bed, GS_REPEAT_SAFE);
+  bed.now_us += 300 * MS;
+  for (int i = 1; i < 6; i++) /* the other request at the same upstream is lost */
+    end_one (&bed, &granted[i],
+             granted[i].upstream == granted[0].upstream ? GS_OUTCOME_CLOSED : GS_OUTCOME_OK,
+             300 * MS);
+  bed.now_us += 400 * MS;
+  reply = ask_in_place_of (&bed, &granted[0], began_us);
+  ck_assert_int_eq (reply.verdict, GS_PLACE_GRANTED);
+  ck_assert_uint_ne (reply.upstream, granted[0].upstream);
+  ck_assert_uint_lt (reply.failing_ppm, 450000);
+  gs_placer_free (bed.placer);
+}
+END_TEST
+
+/* One that runs is not given up for a look at an upstream that has just failed. */
+START_TEST (a_late_attempt_is_no_look_at_a_suspect)
+{
+  Bed bed = bed_new (2);
+  GsPlaceReply granted[4];
+  int64_t began_us;
+
+  warm_up (&bed, 40);
+  began_us = bed.now_us;
+  for (int i = 0; i < 4; i++) /* all slots */
+    granted[i] = ask_one (&bed, GS_REPEAT_SAFE);
+  bed.now_us += 300 * MS;
+  for (int i = 1; i < 4; i++) /* both requests at the other upstream are lost */
+    end_one (&bed, &granted[i],
+             granted[i].upstream != granted[0].upstream ? GS_OUTCOME_CLOSED : GS_OUTCOME_OK,
+             300 * MS);
+  bed.now_us += 1400 * MS; /* an ordinary request whose target has passed would go there */
+  ck_assert_int_ne (ask_in_place_of (&bed, &granted[0], began_us).verdict, GS_PLACE_GRANTED);
+  gs_placer_free (bed.placer);
+}
+END_TEST
+
 FIXTURE_MAIN ("placer",
               &slots_are_never_given_twice,
               &asking_again_repeats_the_reply,
@@ -420,4 +502,7 @@
               &an_answer_clears_the_request,
               &a_lost_origin_gives_its_slot_back,
               &a_joining_upstream_gets_work,
-              &a_full_upstream_is_left_alone_for_a_moment)
+              &a_full_upstream_is_left_alone_for_a_moment,
+              &a_late_attempt_at_a_sound_upstream_is_left_to_finish,
+              &a_late_attempt_at_a_suspect_is_begun_anew_at_a_sound_upstream,
+              &a_late_attempt_is_no_look_at_a_suspect)
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -38,7 +38,8 @@
                                      .n_tried = 2,
                                      .tried = { 10, 11 },
                                      .deadline_us = 12,
-                                     .target_us = 13 } };
+                                     .target_us = 13,
+                                     .running = 14 } };
   GsWireMessage back = round_trip (&message);
 
   ck_assert_uint_eq (back.pool, 7);
