Eject no upstream by running attempts, nor by an answer that speaks for it

By arithmetic: three late attempts add up to 12 nats before any of them ends; with the 3 to 8 nats that a busy machine leaves at any time they pass the 15 of a detection pool, though the connections alone are silent. The next answer was judged on the same sum. Ruled out: not seen in a log; nine more silences beside load did not show it (trial), so this is the cause by argument, held by a test. Change: a late attempt's evidence is noted and judged at the next end; only an end that speaks against an upstream can eject it. Test: late_attempts_alone_eject_nobody, failed first at the late attempts, and at the answer with the second half of the change taken out.

--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -7,8 +7,7 @@
 
 enum
 {
-  POOL_LATE_MAX
-  = 3, /* late attempts that count between two answers; fewer nats than any threshold */
+  POOL_LATE_MAX = 3,             /* late attempts that count between two answers */
   POOL_UNREACHABLE_IN_A_ROW = 2, /* failed connects in a row that take an upstream out */
 };
 
@@ -318,17 +317,27 @@
   change_state (pool, index, GS_UPSTREAM_EJECTED, "trial-failed");
 }
 
-static void
-add_sample (GsPool *pool, uint16_t index, const GsSample *sample)
+/* Takes SAMPLE in without a judgement. RETURN VALUE: true when it speaks against the upstream. */
+static bool
+note_sample (GsPool *pool, uint16_t index, const GsSample *sample)
 {
   double before = gs_detector_score (pool->detector, index);
 
   gs_detector_sample (pool->detector, index, sample);
-  if (gs_detector_score (pool->detector, index) > before)
-    pool->upstreams[index].accused_us = sample->now_us;
+  if (gs_detector_score (pool->detector, index) <= before)
+    return false;
+  pool->upstreams[index].accused_us = sample->now_us;
+  return true;
+}
+
+static void
+add_sample (GsPool *pool, uint16_t index, const GsSample *sample)
+{
+  bool accuses = note_sample (pool, index, sample);
+
   if (pool->upstreams[index].state == GS_UPSTREAM_TRIAL)
     judge_trial (pool, index, sample->now_us);
-  else
+  else if (accuses)
     judge (pool, index, sample->now_us);
 }
 
@@ -444,7 +453,7 @@
                       .time_counts = upstream->state != GS_UPSTREAM_WARMING };
 
   if (upstream->late++ < POOL_LATE_MAX)
-    add_sample (pool, index, &sample);
+    note_sample (pool, index, &sample); /* its connections may be silent: an end decides */
 }
 
 int64_t
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -113,6 +113,32 @@
 }
 END_TEST
 
+/*
+ * Its kept connections may have gone silent: then attempts are late without any fault of its own,
+ * on top of the evidence that a few slow answers leave at any time.
+ */
+START_TEST (late_attempts_alone_eject_nobody)
+{
+  GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
+  GsPool *pool = pool_of (document, 50);
+  int64_t now_us = 100 * SECOND;
+
+  for (int step = 0; step < 500; step++, now_us += SECOND / 50)
+    ordinary_work (pool, UINT16_MAX, now_us);
+  for (int i = 0; i < 3; i++)
+    answer_after (pool, 2, 30000, now_us);
+  for (int i = 0; i < 4; i++)
+    gs_pool_late (pool, 2, 20000, now_us + SECOND / 50);
+  answer_after (pool, 2, 2000, now_us + SECOND / 20); /* on a new connection */
+  ck_assert_int_eq (state_of (pool, 2), GS_UPSTREAM_HEALTHY);
+  ck_assert (gs_pool_overdue (pool, 2, now_us, now_us + SECOND)); /* its connections are dropped */
+  answer_after (pool, 2, 2000, now_us + SECOND);
+  ck_assert_int_eq (state_of (pool, 2), GS_UPSTREAM_HEALTHY);
+  gs_pool_free (pool);
+  gs_document_free (document);
+}
+END_TEST
+
 START_TEST (floor_holds_when_all_but_one_fail)
 {
   GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
@@ -307,6 +333,7 @@
               &failing_upstream_is_ejected_and_returns,
               &moments_when_all_are_late_hide_no_slow_upstream,
               &moments_when_the_others_are_late_hide_no_slow_upstream,
+              &late_attempts_alone_eject_nobody,
               &floor_holds_when_all_but_one_fail,
               &leaving_below_the_floor_takes_ejected_back,
               &leaving_gets_no_work,
