Keep what answers have shown of an upstream when an attempt is overdue; notice a silent read of the tables in 2.1 s

The home's scores: an attempt older than 100 ms had the connections dropped and all evidence wiped, from 13 nats to 0; an upstream slow by 20 has one such attempt in twelve. Change: only what running attempts have added by their lateness is taken off, since that alone may be the connections' fault. A read of the tables that waits on a connection gone silent was noticed after 3.9 s; the platform counts on a daemon again 3 s after its connections were reset, so tables could be old for 0.9 s of that. Change: the read waits 1.2 s, so 2.1 s with the time of a call.

--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -62,7 +62,8 @@
   bool row_leaving; /* its row said so last */
   uint32_t outstanding;
   uint16_t unreachable;
-  uint16_t late;
+  uint16_t late;      /* running attempts that were late since its last answer */
+  double late_nats;   /* evidence that they added */
   int64_t accused_us; /* when evidence against it was last added */
   int64_t hold_us;
   int64_t hold_until_us;
@@ -360,6 +361,7 @@
 
   upstream->unreachable = 0;
   upstream->late = 0;
+  upstream->late_nats = 0;
   upstream->answered_us = end->now_us;
   upstream->latency_us += POOL_LATENCY_WEIGHT * ((double)end->answer_us - upstream->latency_us);
   if (in_rotation (upstream))
@@ -426,6 +428,14 @@
     }
 }
 
+/* Takes off what the lateness of running attempts has added since the last answer. */
+static void
+excuse_late (GsPool *pool, uint16_t index)
+{
+  gs_detector_excuse (pool->detector, index, pool->upstreams[index].late_nats);
+  pool->upstreams[index].late_nats = 0;
+}
+
 bool
 gs_pool_overdue (GsPool *pool, uint16_t index, int64_t sent_us, int64_t now_us)
 {
@@ -435,7 +445,7 @@
     {
       upstream->fresh_from_us = now_us;
       if (now_us - upstream->answered_us >= gs_pool_overdue_us (pool))
-        gs_detector_settle (pool->detector, index); /* it may be the connections alone */
+        excuse_late (pool, index); /* it may be the connections alone */
       return true;
     }
   if (sent_us >= upstream->fresh_from_us)
@@ -452,8 +462,11 @@
                       .provisional = true,
                       .time_counts = upstream->state != GS_UPSTREAM_WARMING };
 
-  if (upstream->late++ < POOL_LATE_MAX)
-    note_sample (pool, index, &sample); /* its connections may be silent: an end decides */
+  if (upstream->late++ >= POOL_LATE_MAX)
+    return;
+  upstream->late_nats -= gs_detector_score (pool->detector, index);
+  note_sample (pool, index, &sample); /* its connections may be silent: an end decides */
+  upstream->late_nats += gs_detector_score (pool->detector, index);
 }
 
 int64_t
--- a/src/gentian/daemon/feed.c
+++ b/src/gentian/daemon/feed.c
@@ -6,7 +6,9 @@
 
 enum
 {
-  FEED_TABLES_WAIT_MS = 3000, /* a connection gone silent is noticed after this */
+  /* A connection gone silent is noticed after this and the time of a call: below the 3 s after
+   * which the platform counts on a daemon again whose connections were reset. */
+  FEED_TABLES_WAIT_MS = 1200,
 };
 
 /** Period of reads of registrations: with the way to the others well below the 2 s in which a
--- a/test/functional/test_native.sh
+++ b/test/functional/test_native.sh
@@ -39,6 +39,14 @@
 sleep 1.2
 check "a registration that names no server is refused" grep -q "GS3107 - registration-refused .*stranger" "$DIR"/inst-*.log
 
+# the connections of waiting reads go silent for good just after they began; 3 s later the platform counts on all daemons again
+put_config 5 ',{"Name":"five","Host":"h.example","PathPrefix":"/five/","Kind":"safe","Timeout":"3s","TargetLatency":"1s","Priority":2,"Service":"stock","MaxAttempts":2}'
+wait_for 2 all_serve /five/1
+store_control mute=1; muted=$(date +%s%3N)
+put_config 6 ',{"Name":"six","Host":"h.example","PathPrefix":"/six/","Kind":"safe","Timeout":"3s","TargetLatency":"1s","Priority":2,"Service":"stock","MaxAttempts":2}'
+wait_for 6 all_serve /six/1
+at_most "tables are in force though the readers' connections went silent, in ms" $(($(date +%s%3N) - muted)) 3000
+
 head -c 20000 /dev/zero | tr '\0' a >"$DIR/long"
 equal "a head over the limit in force is refused" "$(native_request 1 long1 /s/1 -H "X-Long: $(cat "$DIR/long")")" 431
 upstream_control 0 state=draining
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -4,7 +4,7 @@
  *   store PORT
  * Faults: GET /control?away=0|1 (503 to all), silent=0|1 (no answer), slow_ms=N, forget=TOPIC
  * (drops the history), rate=N (reads a second, then 429), lost=0|1 (appends are done and not
- * answered).
+ * answered), mute=N (reads that wait get no answer once N changes: their connections are silent).
  */
 #include <glib.h>
 #include <stdbool.h>
@@ -17,6 +17,7 @@
   STORE_WAIT_STEP_MS = 5,
   STORE_BODY_MAX = 4 * 1024 * 1024,
   STORE_PAGE_ITEMS = 500,
+  STORE_MUTED_STEPS = 2000, /* of a wait: 10 s, longer than any client does */
 };
 
 typedef struct
@@ -36,6 +37,7 @@
   int slow_ms;
   int lost;
   int rate;
+  int muted; /* calls that began before this count of silences get no answer */
   int64_t second;
   int calls;
 } Store;
@@ -210,6 +212,7 @@
   int64_t until_us
       = g_get_monotonic_time () + (int64_t)MIN (number (request, "WaitMs", 0), 30000) * 1000;
   g_autoptr (GByteArray) out = g_byte_array_new ();
+  int muted = store->muted;
   bool gone;
 
   if (is_struck (store, response))
@@ -229,6 +232,8 @@
         break;
       g_usleep (STORE_WAIT_STEP_MS * 1000);
     }
+  for (int i = 0; muted != store->muted && i < STORE_MUTED_STEPS; i++)
+    g_usleep (STORE_WAIT_STEP_MS * 1000);
   if (gone)
     ulfius_set_empty_body_response (response, 410);
   else
@@ -310,6 +315,7 @@
   set_fault (request, "slow_ms", &store->slow_ms);
   set_fault (request, "lost", &store->lost);
   set_fault (request, "rate", &store->rate);
+  set_fault (request, "mute", &store->muted);
   ulfius_set_string_body_response (response, 200, "ok\n");
   return U_CALLBACK_COMPLETE;
 }
--- a/test/unit/test_pool.c
+++ b/test/unit/test_pool.c
@@ -139,6 +139,26 @@
 }
 END_TEST
 
+/* Nor do they take away what answers have shown before. */
+START_TEST (an_overdue_attempt_leaves_the_evidence_of_answers)
+{
+  GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
+  GsPool *pool = pool_of (document, 50);
+  int64_t now_us = 100 * SECOND;
+
+  for (int step = 0; step < 500; step++, now_us += SECOND / 50)
+    ordinary_work (pool, UINT16_MAX, now_us);
+  for (int i = 0; i < 4; i++)
+    answer_after (pool, 2, 40000, now_us);
+  gs_pool_late (pool, 2, 20000, now_us + SECOND / 50);
+  ck_assert (gs_pool_overdue (pool, 2, now_us, now_us + SECOND / 5));
+  answer_after (pool, 2, 40000, now_us + SECOND);
+  ck_assert_int_eq (state_of (pool, 2), GS_UPSTREAM_EJECTED);
+  gs_pool_free (pool);
+  gs_document_free (document);
+}
+END_TEST
+
 START_TEST (floor_holds_when_all_but_one_fail)
 {
   GsDocument *document = fixture_tables (6, GS_REPEAT_SAFE);
@@ -334,6 +354,7 @@
               &moments_when_all_are_late_hide_no_slow_upstream,
               &moments_when_the_others_are_late_hide_no_slow_upstream,
               &late_attempts_alone_eject_nobody,
+              &an_overdue_attempt_leaves_the_evidence_of_answers,
               &floor_holds_when_all_but_one_fail,
               &leaving_below_the_floor_takes_ejected_back,
               &leaving_gets_no_work,
