Pass repeated headers of callers on, and refuse two hosts

Cause: headers were copied from ulfius's map, which keeps one value of a name; a Cookie or a forwarding header that stands twice lost one (listed in docs/PROOFS.md as not proved). With two Host headers the last one decided the route. Change: headers are copied from libmicrohttpd's own list of the connection, which the connection's thread remembers from the request's first line. That also gives the caller's socket and the head's size, so the table of callers by address, its lock and the sum over the map are gone. A request with two Host headers, or two of its id, is refused as malformed.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -41,8 +41,6 @@
   bool started;
   gint refusing; /* new requests are refused: the daemon is about to end */
   gint in_flight;
-  GMutex lock;
-  GHashTable *callers; /* address and port -> socket */
 };
 
 /* One request on its way through this daemon. */
@@ -51,6 +49,7 @@
   GsEntry *entry;
   const struct _u_request *request;
   struct _u_response *response;
+  struct MHD_Connection *connection;
   GsWaiter waiter;
   GsRequestEvent event;
   char host[256];
@@ -78,50 +77,16 @@
   bool broken;
 } Stream;
 
-static int64_t
-caller_key (const struct sockaddr *address)
-{
-  const struct sockaddr_in *ipv4 = (const struct sockaddr_in *)(const void *)address;
-
-  if (address == NULL || address->sa_family != AF_INET)
-    return 0;
-  return (int64_t)ntohl (ipv4->sin_addr.s_addr) << 16 | ntohs (ipv4->sin_port);
-}
-
-/* libmicrohttpd tells of connections here, so that a caller's end can be noticed. */
-static void
-note_connection (void *data,
-                 struct MHD_Connection *connection,
-                 void **context,
-                 enum MHD_ConnectionNotificationCode code)
-{
-  GsEntry *entry = data;
-  const union MHD_ConnectionInfo *address
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  const union MHD_ConnectionInfo *fd
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  int64_t key = address != NULL ? caller_key (address->client_addr) : 0;
-
-  (void)context;
-  g_mutex_lock (&entry->lock);
-  if (code == MHD_CONNECTION_NOTIFY_STARTED && fd != NULL)
-    g_hash_table_replace (entry->callers, g_memdup2 (&key, sizeof key),
-                          GINT_TO_POINTER (fd->connect_fd + 1));
-  else
-    g_hash_table_remove (entry->callers, &key);
-  g_mutex_unlock (&entry->lock);
-}
+/* The connection that this thread serves: each has a thread of its own. */
+static _Thread_local struct MHD_Connection *own_connection;
 
 static int
-caller_socket (GsEntry *entry, const struct _u_request *request)
+caller_socket (struct MHD_Connection *connection)
 {
-  int64_t key = caller_key (request->client_address);
-  int fd;
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
 
-  g_mutex_lock (&entry->lock);
-  fd = GPOINTER_TO_INT (g_hash_table_lookup (entry->callers, &key)) - 1;
-  g_mutex_unlock (&entry->lock);
-  return fd;
+  return info != NULL ? info->connect_fd : -1;
 }
 
 static const char *
@@ -249,24 +214,15 @@
   return hash;
 }
 
-/* Bytes of the request's head, as it came. */
-static size_t
-head_bytes (const struct _u_request *request)
-{
-  const char **names = u_map_enum_keys (request->map_header);
-  size_t bytes = strlen (request->http_verb) + strlen (request->http_url) + ENTRY_LINE_EXTRA;
-
-  for (int i = 0; names[i] != NULL; i++)
-    bytes += strlen (names[i]) + (size_t)u_map_get_length (request->map_header, names[i])
-             + ENTRY_LINE_EXTRA;
-  return bytes;
-}
-
+/* RETURN VALUE: whether the request's head is as short as the tables ask. */
 static bool
 head_fits (const Passage *passage)
 {
-  return passage->limits.max_header_bytes == 0
-         || head_bytes (passage->request) <= passage->limits.max_header_bytes;
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (passage->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+  return passage->limits.max_header_bytes == 0 || info == NULL
+         || info->header_size <= passage->limits.max_header_bytes;
 }
 
 static bool
@@ -283,12 +239,43 @@
          || g_ascii_strtoull (length, NULL, 10) == passage->request->binary_body_length;
 }
 
+typedef struct
+{
+  const char *name;
+  uint32_t count;
+} HeaderCount;
+
+static enum MHD_Result
+count_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  HeaderCount *counted = data;
+
+  (void)kind;
+  (void)value;
+  counted->count += g_ascii_strcasecmp (name, counted->name) == 0 ? 1 : 0;
+  return MHD_YES;
+}
+
+/* Whether a header that tells requests apart stands in this one more than once. */
+static bool
+is_repeated (const Passage *passage, const char *name)
+{
+  HeaderCount counted = { .name = name };
+
+  if (name != NULL)
+    MHD_get_connection_values (passage->connection, MHD_HEADER_KIND, count_header, &counted);
+  return counted.count > 1;
+}
+
 /* RETURN VALUE: reason of a refusal, or NULL. */
 static const char *
 read_request (Passage *passage)
 {
   const char *reason;
 
+  if (is_repeated (passage, "Host") || is_repeated (passage, passage->entry->dialect->request_id))
+    return "repeated-header";
+
   read_host (passage->request, passage->host, sizeof passage->host);
   passage->event.host = passage->host;
   passage->event.path = passage->request->url_path;
@@ -347,23 +334,38 @@
     g_ptr_array_add (headers, g_strdup_printf ("%s: %s", dialect->expected, attempt->target));
 }
 
+typedef struct
+{
+  const Passage *passage;
+  const GsAttemptEffect *attempt;
+  GPtrArray *headers;
+} HeaderCopy;
+
+/* Passes a header of the caller on, also the second of its name. */
+static enum MHD_Result
+copy_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  const HeaderCopy *copy = data;
+  const char *passed = passed_name (name, copy->attempt);
+
+  (void)kind;
+  if (!is_passed_on (copy->passage->entry->dialect, name, copy->attempt->with_right))
+    return MHD_YES;
+  g_ptr_array_add (copy->headers, value != NULL && *value != '\0'
+                                      ? g_strdup_printf ("%s: %s", passed, value)
+                                      : g_strdup_printf ("%s;", passed));
+  return MHD_YES;
+}
+
 static GPtrArray *
 make_headers (Passage *passage, const GsAttemptEffect *attempt)
 {
   const GsDialect *dialect = passage->entry->dialect;
   GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
-  const char **names = u_map_enum_keys (passage->request->map_header);
+  HeaderCopy copy = { .passage = passage, .attempt = attempt, .headers = headers };
   int64_t left_us = attempt->deadline_us - g_get_monotonic_time ();
 
-  for (int i = 0; names[i] != NULL; i++)
-    if (is_passed_on (dialect, names[i], attempt->with_right))
-      {
-        const char *value = u_map_get (passage->request->map_header, names[i]);
-        g_ptr_array_add (headers,
-                         *value != '\0'
-                             ? g_strdup_printf ("%s: %s", passed_name (names[i], attempt), value)
-                             : g_strdup_printf ("%s;", passed_name (names[i], attempt)));
-      }
+  MHD_get_connection_values (passage->connection, MHD_HEADER_KIND, copy_header, &copy);
   g_ptr_array_add (headers, g_strdup ("Expect:"));
   g_ptr_array_add (headers,
                    g_strdup_printf ("%s: %" G_GINT64_FORMAT,
@@ -795,7 +797,8 @@
   gs_counter_add (GS_COUNTER_REQUESTS, 1);
   passage.came_us = g_get_monotonic_time ();
   gs_engine_open (entry->engine, &passage.waiter);
-  passage.caller_fd = caller_socket (entry, request);
+  passage.connection = own_connection;
+  passage.caller_fd = caller_socket (passage.connection);
   passage.limits = gs_engine_caller_limits (entry->engine);
   reason = read_request (&passage);
   if (reason != NULL)
@@ -835,10 +838,11 @@
 
 /* A request counts as in flight from its first line until its answer has been sent. */
 static void *
-note_begun (void *data, const char *uri)
+note_begun (void *data, const char *uri, struct MHD_Connection *connection)
 {
   GsEntry *entry = data;
 
+  own_connection = connection;
   g_atomic_int_inc (&entry->in_flight);
   return ulfius_uri_logger (&entry->server, uri);
 }
@@ -861,7 +865,6 @@
   const GsSettings *settings = gs_engine_settings (entry->engine);
   struct MHD_OptionItem options[]
       = { { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)note_completed, entry },
-          { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)note_connection, entry },
           { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)note_begun, entry },
           { MHD_OPTION_SOCK_ADDR, 0, entry->server.bind_address },
           { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)settings->max_callers, NULL },
@@ -890,8 +893,6 @@
   entry->engine = engine;
   entry->dialect = entry_options->dialect != NULL ? entry_options->dialect : &gs_dialect_own;
   entry->kept = gs_kept_new (settings->kept_answers_bytes);
-  entry->callers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  g_mutex_init (&entry->lock);
   ulfius_init_instance (&entry->server, settings->entry_port, &address, NULL);
   entry->server.max_post_body_size = settings->max_body_bytes + 1;
   entry->server.check_utf8 = 0;
@@ -935,7 +936,5 @@
     ulfius_stop_framework (&entry->server);
   ulfius_clean_instance (&entry->server);
   gs_kept_free (entry->kept);
-  g_hash_table_destroy (entry->callers);
-  g_mutex_clear (&entry->lock);
   g_free (entry);
 }
--- a/test/functional/test_input.sh
+++ b/test/functional/test_input.sh
@@ -25,6 +25,11 @@
 equal "a forged hop" "$(cat "$DIR/out")" "400 not-run"
 request 1 k / -H "Gentian-Timeout-Ms: -3" >"$DIR/out"
 equal "a bad timeout" "$(cat "$DIR/out")" "400 not-run"
+for n in 1 2; do
+  request $n notes /x -H "Note: a" -H "Note: b" -H "Note: a" >"$DIR/out"
+  check "a header that stands three times reaches the backend server three times, through daemon $n" grep -qi "^Notes-Seen: 3" "$DIR/head"
+done
+equal "two hosts are refused" "$(raw $((PORTS + 201)) 'GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n')" "HTTP/1.1 400 Bad Request"
 for i in 1 2 3; do head -c 4000 /dev/urandom >"/dev/tcp/127.0.0.1/$((PORTS + 401))"; done 2>/dev/null
 curl -s --noproxy '*' -X POST --data-binary 'not msgpack' "http://$PLATFORM/v1/streams/config/records" >/dev/null
 printf '\x92\x63\x01' | curl -s --noproxy '*' -X POST --data-binary @- "http://$PLATFORM/v1/streams/config/records" >/dev/null
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -62,6 +62,7 @@
   char attempt[32];
   size_t body_length;
   uint64_t body_hash;
+  int notes; /* headers of this name */
 } Request;
 
 static GMutex lock;
@@ -124,6 +125,18 @@
   out[length] = '\0';
 }
 
+/* How often a header stands in HEAD. */
+static int
+count_headers (const char *head, const char *name)
+{
+  g_autofree char *pattern = g_strdup_printf ("\r\n%s:", name);
+  int count = 0;
+
+  for (const char *at = strcasestr (head, pattern); at != NULL; at = strcasestr (at + 1, pattern))
+    count++;
+  return count;
+}
+
 /* FNV-1a over the body, fed piece by piece. */
 static uint64_t
 add_hash (uint64_t hash, const char *bytes, size_t length)
@@ -160,6 +173,7 @@
     return FALSE;
   read_header (head, "Run-Id", request->run_id, sizeof request->run_id);
   read_header (head, "Gentian-Attempt", request->attempt, sizeof request->attempt);
+  request->notes = count_headers (head, "Note");
   read_header (head, "Content-Length", length, sizeof length);
   request->body_length = (size_t)strtoull (length, NULL, 10);
   while (have < request->body_length)
@@ -287,8 +301,8 @@
   head = g_strdup_printf (
       "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\nServed-By: %s\r\n"
       "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\nVary: x\r\nVary: y\r\n"
-      "Gentian-Attempt: %s\r\n\r\n",
-      total, id, request->attempt);
+      "Gentian-Attempt: %s\r\nNotes-Seen: %d\r\n\r\n",
+      total, id, request->attempt, request->notes);
   if (!send_all (fd, head, strlen (head)) || !send_all (fd, line, MIN (strlen (line), stop_at)))
     return FALSE;
   memset (block, 'a' + (int)(strlen (request->path) % 26), sizeof block);
