--- a/src/gentian/core/notice.h
+++ b/src/gentian/core/notice.h
@@ -38,6 +38,7 @@
   X (NAMED, 2107, GS_LEVEL_INFO, "entries-named")                                                  \
   X (PLACED, 2108, GS_LEVEL_INFO, "placed")                                                        \
   X (PLACER_SILENT, 2109, GS_LEVEL_NOTICE, "placer-silent")                                        \
+  X (LATE_KEPT, 2110, GS_LEVEL_INFO, "late-attempt-kept")                                          \
   X (BELIEF_CHANGED, 3105, GS_LEVEL_NOTICE, "upstream-belief-changed")                             \
   X (REGISTRATION_CHANGED, 3106, GS_LEVEL_NOTICE, "registration-changed")                          \
   X (REGISTRATION_REFUSED, 3107, GS_LEVEL_WARNING, "registration-refused")                         \
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -354,6 +354,11 @@
     }
   if (request->phase == REQUEST_RUNNING && reply->verdict != GS_PLACE_GRANTED)
     {
+      core_notice (core, GS_NOTICE_LATE_KEPT,
+                   "request=%" G_GUINT64_FORMAT
+                   " id=%s pool=%s reason=%s attempt=%u age_us=%" G_GINT64_FORMAT,
+                   request->id, request->label, request->pool->name, reply->reason,
+                   request->n_attempts, core->now_us - request->arrived_us);
       placing_cancel (core, request); /* the late attempt goes on alone */
       return;
     }
--- a/test/unit/test_placing.c
+++ b/test/unit/test_placing.c
@@ -200,6 +200,7 @@
       char id[8];
       GsCoreOptions options
           = { .seed = (uint64_t)i + 5,
+              .notice_level = GS_LEVEL_INFO,
               .repeats = { .share_ppm = 200000, .slack = 20, .window_us = 10 * GS_US_PER_S } };
       GsCopyEntry entry = { .workspace = "w", .text = "-", .revision = 1 };
       GsDocument *document = tables (repeat);
@@ -470,6 +471,42 @@
 }
 END_TEST
 
+/* Long requests take as long anywhere: while the upstream answers others, nothing is begun anew. */
+START_TEST (a_late_attempt_at_a_sound_upstream_goes_on)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  GsEvent late = { .kind = GS_EVENT_ATTEMPT_LATE };
+  const GsEffect *effect;
+  int core;
+
+  for (uint64_t id = 1; id <= 12; id++)
+    {
+      request (fleet, 0, id);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+      tick (fleet, 300 * GS_US_PER_MS);
+      end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  request (fleet, 0, 13);
+  late.attempt_late = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt.attempt;
+  tick (fleet, 600 * GS_US_PER_MS);
+  while (take_effect (fleet, GS_EFFECT_NOTICE, NULL) != NULL)
+    ; /* those of its first attempt */
+  post (fleet, core, &late);
+  effect = take_effect (fleet, GS_EFFECT_NOTICE, NULL);
+  while (effect != NULL && effect->notice.number != GS_NOTICE_LATE_KEPT)
+    {
+      ck_assert_int_ne (effect->notice.number, GS_NOTICE_PLACED);
+      effect = take_effect (fleet, GS_EFFECT_NOTICE, NULL);
+    }
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_ptr_nonnull (strstr (effect->notice.text, "reason=attempt-may-finish"));
+  end_attempt (fleet, core, late.attempt_late, GS_OUTCOME_OK);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ANSWER, NULL));
+  ck_assert_uint_eq (outstanding (fleet), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (a_stopping_daemon_breaks_nothing_off)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
@@ -596,6 +633,7 @@
               &what_did_not_run_is_sent_elsewhere,
               &an_error_is_passed_on_when_no_other_attempt_is_left,
               &a_late_attempt_runs_on_until_another_is_granted,
+              &a_late_attempt_at_a_sound_upstream_goes_on,
               &a_stopping_daemon_breaks_nothing_off,
               &leaving_upstreams_get_no_request_once_it_is_known,
               &missed_registrations_are_pulled,
