Keep large answers in their failure domain

The placer weighed another domain by a constant, whatever was moved. Ruled out: messages between daemons (some hundred bytes a request). Change: ends of attempts tell the bytes of both bodies; the mean of a route's bytes adds to the cost of another domain, 4.5 answers a megabyte by the users' site files, at most as much as a belief of two in five. Test: large_answers_stay_in_their_domain, failed first.

--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -108,6 +108,7 @@
   uint64_t attempt;
   GsOutcome outcome;
   int64_t answer_us; /**< time to the first byte of the answer */
+  uint32_t bytes;    /**< of the bodies of request and answer */
   bool committed;    /**< part of the answer has been passed on to the caller */
   bool has_load;     /**< the answer told the upstream's load */
   uint16_t running;  /**< requests that the upstream works on */
--- a/src/gentian/core/durations.c
+++ b/src/gentian/core/durations.c
@@ -42,9 +42,10 @@
 }
 
 static void
-update (GsDuration *duration, double sample_us)
+update (GsDuration *duration, const GsDurationSample *sample)
 {
   double weight = 1.0 / (duration->samples + 1);
+  double sample_us = (double)sample->answer_us;
   double off_us;
 
   if (duration->samples >= GS_DURATIONS_SAMPLES_MIN)
@@ -52,19 +53,28 @@
   weight = fmax (weight, GS_DURATIONS_WEIGHT);
   off_us = sample_us - duration->mean_us;
   duration->mean_us += weight * off_us;
+  duration->mean_bytes += weight * (sample->bytes - duration->mean_bytes);
   if (duration->samples > 0)
     duration->variance_us2 = (1 - weight) * (duration->variance_us2 + weight * off_us * off_us);
   duration->samples++;
 }
 
 void
-gs_durations_note (GsDurations *durations, uint64_t flow, int64_t answer_us, int64_t now_us)
+gs_durations_note (GsDurations *durations, const GsDurationSample *sample, int64_t now_us)
 {
-  GsDuration *duration = find_or_add (durations, flow);
+  GsDuration *duration = find_or_add (durations, sample->flow);
 
   duration->used_us = now_us;
-  update (duration, (double)answer_us);
-  update (&durations->all, (double)answer_us);
+  update (duration, sample);
+  update (&durations->all, sample);
+}
+
+uint32_t
+gs_durations_bytes (const GsDurations *durations, uint64_t flow)
+{
+  const GsDuration *duration = find (durations, flow);
+
+  return duration != NULL ? (uint32_t)duration->mean_bytes : 0;
 }
 
 int64_t
--- a/src/gentian/core/durations.h
+++ b/src/gentian/core/durations.h
@@ -1,9 +1,10 @@
 /**
  * NAME
- *   durations - how long requests of each flow usually take
+ *   durations - how long requests of each flow usually take, and how many bytes they move
  *
  * DESCRIPTION
- *   Moving mean and deviation of answer times by flow (requests of one route), and over all flows.
+ *   Moving mean and deviation of answer times by flow (requests of one route), and over all flows;
+ * moving mean of the bytes of request and answer.
  * Samples are cut at the limit beyond which an answer counts as slow, so that a fault does not
  * become the norm. Bounded: the flow unused longest makes room. Pure. Tested by
  * test/unit/test_placer.c.
@@ -32,6 +33,7 @@
   uint32_t samples;
   double mean_us;
   double variance_us2;
+  double mean_bytes; /**< of the bodies of request and answer */
   int64_t used_us;
 } GsDuration;
 
@@ -42,8 +44,19 @@
   uint32_t n_flows;
 } GsDurations;
 
-/** Takes an answer of FLOW after ANSWER_US in. */
-void gs_durations_note (GsDurations *durations, uint64_t flow, int64_t answer_us, int64_t now_us);
+/** What an answer tells of its flow. */
+typedef struct
+{
+  uint64_t flow;
+  int64_t answer_us;
+  uint32_t bytes; /**< of the bodies of request and answer */
+} GsDurationSample;
+
+/** Takes SAMPLE in. */
+void gs_durations_note (GsDurations *durations, const GsDurationSample *sample, int64_t now_us);
+
+/** RETURN VALUE: bytes that a request of FLOW and its answer usually move; 0 when unknown. */
+uint32_t gs_durations_bytes (const GsDurations *durations, uint64_t flow);
 
 /** RETURN VALUE: expected time of an answer to FLOW, or of any flow; 0 when nothing is known. */
 int64_t gs_durations_mean_us (const GsDurations *durations, uint64_t flow);
--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -273,6 +273,7 @@
   GsSlotChoice choice = { .now_us = now_us,
                           .origin = ask->origin,
                           .domain = ask->domain,
+                          .bytes = gs_durations_bytes (&placer->durations, ask->flow),
                           .repeatable = ask->repeat == GS_REPEAT_SAFE && !ask->last,
                           .pressing = is_pressing (placer, ask, now_us),
                           .crowded = placer->waiting->len > 1,
@@ -631,7 +632,10 @@
     {
     case GS_OUTCOME_OK:
     case GS_OUTCOME_ERROR:
-      gs_durations_note (&placer->durations, end->flow, end->answer_us, now_us);
+      gs_durations_note (&placer->durations,
+                         &(GsDurationSample){
+                             .flow = end->flow, .answer_us = end->answer_us, .bytes = end->bytes },
+                         now_us);
       if (grant != NULL)
         {
           gs_crashes_clear (placer->lost, grant->fingerprint);
--- a/src/gentian/core/placer.h
+++ b/src/gentian/core/placer.h
@@ -99,6 +99,7 @@
   bool again; /**< the request had reached an upstream before */
   GsOutcome outcome;
   int64_t answer_us; /**< time to the whole answer */
+  uint32_t bytes;    /**< of the bodies of request and answer */
   bool has_load;     /**< the answer told the upstream's load */
   uint16_t running;  /**< requests that the upstream works on */
   uint16_t waiting;  /**< requests that wait at the upstream */
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -450,6 +450,7 @@
                        .again = attempt->again,
                        .outcome = event->outcome,
                        .answer_us = core->now_us - attempt->started_us,
+                       .bytes = event->bytes,
                        .has_load = event->has_load,
                        .running = event->running,
                        .waiting = event->waiting };
--- a/src/gentian/core/slots.c
+++ b/src/gentian/core/slots.c
@@ -19,8 +19,12 @@
 #define SLOTS_FULL_COST 0.05
 #define SLOTS_COLD_COST 0.15
 #define SLOTS_DOUBTFUL_COST 0.3
-/** Cost of sending bytes to another failure domain. */
+/** Cost of sending a request to another failure domain. */
 #define SLOTS_DOMAIN_COST 0.02
+/** The same for its bytes: the users count a gigabyte between domains as 4,500 answers. At most as
+ * much as a belief of two in five that a repeatable request fails. */
+#define SLOTS_DOMAIN_COST_PER_MB 4.5
+#define SLOTS_DOMAIN_COST_MAX 0.2
 /** Breaks ties, so that equals share the work. */
 #define SLOTS_NOISE 0.004
 /** Time without work after which one request looks how an upstream fares: one that may be repeated
@@ -325,6 +329,12 @@
   return upstream->shed * exp (-passed_s / SLOTS_SHED_S);
 }
 
+static double
+domain_cost (uint32_t bytes)
+{
+  return fmin (SLOTS_DOMAIN_COST + SLOTS_DOMAIN_COST_PER_MB * bytes / 1e6, SLOTS_DOMAIN_COST_MAX);
+}
+
 /* Expected loss of sending the request to UPSTREAM, in parts of what the request is worth. */
 static double
 cost_of (GsSlots *slots, const Upstream *upstream, const GsSlotChoice *choice, double failing)
@@ -339,7 +349,7 @@
   if (upstream->state == GS_REGISTERED_DOUBTFUL)
     cost += SLOTS_DOUBTFUL_COST;
   if (upstream->domain != choice->domain)
-    cost += SLOTS_DOMAIN_COST;
+    cost += domain_cost (choice->bytes);
   return cost + SLOTS_NOISE * gs_random_unit (&slots->random);
 }
 
--- a/src/gentian/core/slots.h
+++ b/src/gentian/core/slots.h
@@ -27,6 +27,7 @@
   int64_t now_us;
   uint64_t origin; /**< daemon that will send the request */
   uint64_t domain; /**< hash of its failure domain */
+  uint32_t bytes;  /**< that the request and its answer usually move */
   bool repeatable; /**< a failed attempt may be made again elsewhere */
   bool pressing;   /**< waiting for a better upstream costs more than a bad one */
   bool crowded;    /**< other requests wait for slots of this pool */
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -74,6 +74,7 @@
   GsEntry *entry;
   GsExchange *exchange;
   uint64_t attempt;
+  uint32_t bytes; /* of the bodies of request and answer */
   bool broken;
 } Stream;
 
@@ -477,14 +478,25 @@
   end->waiting = (uint16_t)MIN (waiting, UINT16_MAX);
 }
 
+/* Bytes of the bodies of the request and of an answer of LENGTH, which may be unknown. */
+static uint32_t
+moved_bytes (const Passage *passage, int64_t length)
+{
+  return (uint32_t)MIN (passage->request->binary_body_length + (uint64_t)MAX (length, 0),
+                        UINT32_MAX);
+}
+
 static void
 post_attempt_end (Passage *passage, GsOutcome outcome)
 {
+  size_t length;
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
                     .attempt_end = { .attempt = passage->attempt,
                                      .outcome = outcome,
                                      .answer_us = gs_exchange_answer_us (passage->exchange) } };
 
+  gs_exchange_body (passage->exchange, &length);
+  event.attempt_end.bytes = moved_bytes (passage, (int64_t)length);
   read_load (passage->entry->dialect, passage->exchange, &event.attempt_end);
   gs_engine_post (passage->entry->engine, &event);
 }
@@ -692,6 +704,7 @@
                     .attempt_end = { .attempt = stream->attempt,
                                      .outcome = outcome,
                                      .answer_us = gs_exchange_answer_us (stream->exchange),
+                                     .bytes = stream->bytes,
                                      .committed = true } };
 
   if (stream->broken)
@@ -715,6 +728,7 @@
   stream->entry = passage->entry;
   stream->exchange = g_steal_pointer (&passage->exchange);
   stream->attempt = passage->attempt;
+  stream->bytes = moved_bytes (passage, length);
   gs_exchange_headers (stream->exchange, add_to_response, passage->response->map_header);
   ulfius_set_stream_response (passage->response,
                               (unsigned int)gs_exchange_status (stream->exchange), stream_read,
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -297,6 +297,7 @@
   msgpack_pack_uint8 (packer, end->has_load ? 1 : 0);
   msgpack_pack_uint16 (packer, end->running);
   msgpack_pack_uint16 (packer, end->waiting);
+  msgpack_pack_uint32 (packer, end->bytes);
 }
 
 static void
@@ -316,6 +317,7 @@
   end->has_load = gs_read_uint (reader, 1) == 1;
   end->running = (uint16_t)gs_read_uint (reader, UINT16_MAX);
   end->waiting = (uint16_t)gs_read_uint (reader, UINT16_MAX);
+  end->bytes = (uint32_t)gs_read_uint (reader, UINT32_MAX);
 }
 
 static uint32_t
@@ -338,7 +340,7 @@
     case GS_WIRE_PLACE_REPLY:
       return 18;
     case GS_WIRE_PLACE_END:
-      return 12;
+      return 13;
     default:
       return 2;
     }
--- a/test/unit/test_placer.c
+++ b/test/unit/test_placer.c
@@ -403,6 +403,64 @@
 }
 END_TEST
 
+/* Asks from failure domain "d", where upstream 0 is. RETURN VALUE: the port that is granted. */
+static uint16_t
+ask_from_d (Bed *bed)
+{
+  GsPlaceAsk ask = new_ask (bed, GS_REPEAT_SAFE);
+
+  ask.domain = gs_hash_name ("d");
+  return put (bed, &ask).port;
+}
+
+/* RETURN VALUE: requests of BYTES that the upstream in "d" gets of the first four from there, each
+ * of which stays; the other upstream is elsewhere. */
+static int
+kept_near (uint32_t bytes)
+{
+  Bed bed = bed_new (2);
+  uint64_t last = 0;
+  int near = 0;
+
+  for (uint16_t i = 0; i < 2; i++)
+    {
+      GsRegistration row = registration (i);
+      row.slots = 4;
+      g_strlcpy (row.failure_domain, i == 0 ? "d" : "away", sizeof row.failure_domain);
+      gs_placer_set_upstream (bed.placer, &row, GS_REGISTERED_SERVING, bed.now_us, bed.now_us);
+    }
+  for (int i = 0; i < 40; i++, bed.now_us += 100 * MS)
+    {
+      GsPlaceAsk ask = new_ask (&bed, GS_REPEAT_SAFE);
+      GsPlaceReply reply;
+      GsPlaceEnd end;
+      ask.n_tried = 1; /* they take turns */
+      ask.tried[0] = last;
+      reply = put (&bed, &ask);
+      last = reply.upstream;
+      end = (GsPlaceEnd){ .origin = reply.origin,
+                          .token = reply.token,
+                          .grant = reply.grant,
+                          .upstream = reply.upstream,
+                          .flow = 9,
+                          .answer_us = 300 * MS,
+                          .bytes = bytes };
+      gs_placer_end (bed.placer, &end, bed.now_us);
+    }
+  for (int i = 0; i < 4; i++)
+    near += ask_from_d (&bed) == 1 ? 1 : 0;
+  gs_placer_free (bed.placer);
+  return near;
+}
+
+/* They fill the slots of their failure domain; small ones go to the emptier upstream. */
+START_TEST (large_answers_stay_in_their_domain)
+{
+  ck_assert_int_eq (kept_near (100000), 4);
+  ck_assert_int_lt (kept_near (400), 4);
+}
+END_TEST
+
 /* Asks for a slot in place of the late attempt GRANTED, which began at BEGAN_US. */
 static GsPlaceReply
 ask_in_place_of (Bed *bed, const GsPlaceReply *granted, int64_t began_us)
@@ -503,6 +561,7 @@
               &a_lost_origin_gives_its_slot_back,
               &a_joining_upstream_gets_work,
               &a_full_upstream_is_left_alone_for_a_moment,
+              &large_answers_stay_in_their_domain,
               &a_late_attempt_at_a_sound_upstream_is_left_to_finish,
               &a_late_attempt_at_a_suspect_is_begun_anew_at_a_sound_upstream,
               &a_late_attempt_is_no_look_at_a_suspect)
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -90,6 +90,7 @@
                                      .outcome = GS_OUTCOME_CANCELLED,
                                      .answer_us = 7,
                                      .has_load = true,
+                                     .bytes = 10,
                                      .running = 8,
                                      .waiting = 9 } };
   GsWireMessage back = round_trip (&message);
