Count the request that an answer belongs to out of the load that the answer tells

An upstream's answer tells its load with the answered request still in it; the placer had released that slot already, took the difference for a request of somebody else, and held one slot of each upstream back for 0.3 s after each answer: a quarter of the capacity, just when it was short. Ruled out: failing upstreams (beliefs sound), repeats, the other home. Change: one request less is taken for others'. The lab's upstreams now tell their load as the real ones do; that is why it had not shown this.

--- a/src/gentian/core/slots.c
+++ b/src/gentian/core/slots.c
@@ -495,7 +495,8 @@
   if (upstream == NULL)
     return;
   upstream->load_us = now_us;
-  upstream->foreign = busy > upstream->outstanding ? busy - upstream->outstanding : 0;
+  /* the upstream still counts the request whose answer told it */
+  upstream->foreign = busy > upstream->outstanding + 1 ? busy - upstream->outstanding - 1 : 0;
 }
 
 void
--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -69,6 +69,8 @@
   int64_t work_us;
   int64_t sent_us;
   GsOutcome outcome;
+  uint32_t told_running; /* load that its answer tells; it counts itself */
+  uint32_t told_waiting;
   bool running;
   bool queued;
   bool ended; /* its end is on the way to the daemon, or was told */
@@ -841,10 +843,13 @@
 static void
 finish_work (Lab *lab, Work *work)
 {
+  const Upstream *upstream = &lab->upstreams[work->pool][work->upstream];
   bool failed = unit (lab) < work->call->kind->error_share || strikes (lab, work, LAB_FAULT_ERRORS);
 
   if (!work->running)
     return;
+  work->told_running = upstream->running;
+  work->told_waiting = upstream->queue.length;
   leave_slot (lab, work);
   end_attempt (lab, work, failed ? GS_OUTCOME_ERROR : GS_OUTCOME_OK);
 }
@@ -852,7 +857,6 @@
 static void
 tell_end (Lab *lab, Work *work)
 {
-  const Upstream *upstream = &lab->upstreams[work->pool][work->upstream];
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
                     .attempt_end = { .attempt = work->attempt,
                                      .outcome = work->outcome,
@@ -863,8 +867,8 @@
   if (work->outcome == GS_OUTCOME_OK || work->outcome == GS_OUTCOME_ERROR)
     {
       event.attempt_end.has_load = true;
-      event.attempt_end.running = (uint16_t)upstream->running;
-      event.attempt_end.waiting = (uint16_t)upstream->queue.length;
+      event.attempt_end.running = (uint16_t)work->told_running;
+      event.attempt_end.waiting = (uint16_t)work->told_waiting;
       work->call->work_us = work->outcome == GS_OUTCOME_OK ? work->work_us : -1;
     }
   post (lab, work->daemon, &event);
--- a/test/unit/test_placer.c
+++ b/test/unit/test_placer.c
@@ -403,6 +403,35 @@
 }
 END_TEST
 
+/* An answer tells the load with its own request; what is left beyond the placer's own requests are
+ * those of others. */
+START_TEST (an_answered_request_takes_no_slot)
+{
+  Bed bed = bed_new (1);
+  GsPlaceReply first;
+  GsPlaceReply second;
+  GsPlaceEnd end = { .flow = 9, .outcome = GS_OUTCOME_OK, .answer_us = 300 * MS, .has_load = true };
+
+  warm_up (&bed, 20);
+  first = ask_one (&bed, GS_REPEAT_ONCE);
+  second = ask_one (&bed, GS_REPEAT_ONCE);
+  end.origin = first.origin;
+  end.token = first.token;
+  end.grant = first.grant;
+  end.upstream = first.upstream;
+  end.running = 2; /* both */
+  gs_placer_end (bed.placer, &end, bed.now_us);
+  first = ask_one (&bed, GS_REPEAT_ONCE);
+  ck_assert_int_eq (first.verdict, GS_PLACE_GRANTED);
+  end.token = second.token;
+  end.grant = second.grant;
+  end.running = 3; /* both, and one of another daemon */
+  gs_placer_end (bed.placer, &end, bed.now_us);
+  ck_assert_int_ne (ask_one (&bed, GS_REPEAT_ONCE).verdict, GS_PLACE_GRANTED);
+  gs_placer_free (bed.placer);
+}
+END_TEST
+
 /* Asks from failure domain "d", where upstream 0 is. RETURN VALUE: the port that is granted. */
 static uint16_t
 ask_from_d (Bed *bed)
@@ -561,6 +590,7 @@
               &a_lost_origin_gives_its_slot_back,
               &a_joining_upstream_gets_work,
               &a_full_upstream_is_left_alone_for_a_moment,
+              &an_answered_request_takes_no_slot,
               &large_answers_stay_in_their_domain,
               &a_late_attempt_at_a_sound_upstream_is_left_to_finish,
               &a_late_attempt_at_a_suspect_is_begun_anew_at_a_sound_upstream,
