--- a/test/unit/test_records.c
+++ b/test/unit/test_records.c
@@ -95,12 +95,13 @@
 
 START_TEST (empty_values_are_read)
 {
+  static const char sign[] = { '\x94', GS_WIRE_VERSION, '\x04', '\xc4', '\x00', '\x01' };
   GsRecord record;
   GsWireMessage message;
 
   /* an edit without a name, and a sign for an upstream without one: no value is a null pointer */
   ck_assert (!gs_record_decode (&record, "\x96\x01\x01\xc4\x00\xc4\x00\x00\xc4\x00", 10));
-  ck_assert (gs_wire_decode (&message, "\x94\x01\x04\xc4\x00\x01", 6));
+  ck_assert (gs_wire_decode (&message, sign, sizeof sign));
 }
 END_TEST
 
