--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -20,24 +20,34 @@
 /** Entries of a copy from which its memory is given back to the system at once. */
 #define ENGINE_TRIM_ENTRIES 1000
 
+typedef struct
+{
+  GsEffectSink take;
+  void *data;
+} Sink;
+
 struct GsEngine
 {
   const GsSettings *settings;
-  GMutex lock; /* over the core, its effects and the waiters */
+  struct ev_loop *loop;
+  GThread *owner; /* runs the loop */
+  GMutex lock;    /* over the core, its effects, the sinks and the deliveries */
   GsCore *core;
   GsEffects *effects;
-  GHashTable *waiters; /* request -> GsWaiter, not owned */
+  GHashTable *sinks;  /* request -> Sink */
+  GQueue deliveries;  /* of GsEffect, for sinks */
+  ev_async delivered; /* there are deliveries, or the next tick is due earlier */
+  ev_timer tick;
+  int64_t ticked_us;
+  int64_t tick_due_us;
   GsPeer *peer;
-  GsClient *client;
+  GsDropSink drop;
+  void *drop_data;
   GAsyncQueue *claims; /* of GsClaimRecord */
-  GThread *ticker;
-  GCond tick_cond;
-  int64_t tick_due_us;
   GsTablesParser parse_tables;
   uint64_t next_request;
   uint64_t incarnation;
   gint stopping;
-  gint ending;
   gint need_log;
 };
 
@@ -136,17 +146,6 @@
   send_wire (engine, &effect->to, &message);
 }
 
-static void
-give_to_waiter (GsEngine *engine, uint64_t request, const GsEffect *effect)
-{
-  GsWaiter *waiter = g_hash_table_lookup (engine->waiters, &request);
-
-  if (waiter == NULL)
-    return;
-  g_queue_push_tail (&waiter->effects, g_memdup2 (effect, sizeof *effect));
-  g_cond_signal (&waiter->cond);
-}
-
 static void
 carry_out (GsEngine *engine, const GsEffect *effect)
 {
@@ -189,7 +188,8 @@
       gs_engine_requeue_claim (engine, &effect->claim);
       break;
     case GS_EFFECT_DROP_CONNECTIONS:
-      gs_client_drop (engine->client, effect->drop.ipv4, effect->drop.peer_port);
+      if (engine->drop != NULL)
+        engine->drop (effect->drop.ipv4, effect->drop.peer_port, engine->drop_data);
       break;
     case GS_EFFECT_EDIT_RESULT:
       if (effect->edit_result.result == GS_EDIT_ACCEPTED)
@@ -199,62 +199,152 @@
       gs_log_fields (effect->notice.number, effect->notice.text);
       break;
     default:
-      give_to_waiter (engine, request_of (effect), effect);
+      g_queue_push_tail (&engine->deliveries, g_memdup2 (effect, sizeof *effect));
     }
 }
 
-void
-gs_engine_post (GsEngine *engine, GsEvent *event)
+static void
+reduce (GsEngine *engine, GsEvent *event)
 {
-  g_mutex_lock (&engine->lock);
   event->now_us = g_get_monotonic_time ();
   gs_core_reduce (engine->core, event, engine->effects);
   for (uint32_t i = 0; i < gs_effects_count (engine->effects); i++)
     carry_out (engine, gs_effects_get (engine->effects, i));
   gs_effects_clear (engine->effects);
-  if (event->now_us + gs_core_next_tick_us (engine->core) < engine->tick_due_us)
-    g_cond_signal (&engine->tick_cond);
-  g_mutex_unlock (&engine->lock);
+  if (event->kind == GS_EVENT_TICK)
+    engine->ticked_us = event->now_us;
+}
+
+/* Sets the timer of the next tick, which is due a time after the last one. */
+static void
+arm_tick (GsEngine *engine)
+{
+  int64_t now_us = g_get_monotonic_time ();
+
+  engine->tick_due_us = engine->ticked_us + gs_core_next_tick_us (engine->core);
+  ev_timer_stop (engine->loop, &engine->tick);
+  ev_timer_set (&engine->tick, (double)MAX (engine->tick_due_us - now_us, 0) / G_USEC_PER_SEC, 0.);
+  ev_timer_start (engine->loop, &engine->tick);
 }
 
 void
-gs_engine_open (GsEngine *engine, GsWaiter *waiter)
+gs_engine_post (GsEngine *engine, GsEvent *event)
+{
+  bool own = g_thread_self () == engine->owner;
+  bool earlier;
+  bool wake;
+
+  g_mutex_lock (&engine->lock);
+  reduce (engine, event);
+  earlier = event->kind == GS_EVENT_TICK
+            || event->now_us + gs_core_next_tick_us (engine->core) < engine->tick_due_us;
+  if (earlier && own)
+    arm_tick (engine);
+  wake = !g_queue_is_empty (&engine->deliveries) || (earlier && !own);
+  g_mutex_unlock (&engine->lock);
+  if (wake && own)
+    ev_feed_event (engine->loop, &engine->delivered, EV_ASYNC);
+  else if (wake)
+    ev_async_send (engine->loop, &engine->delivered);
+}
+
+static bool
+next_delivery (GsEngine *engine, GsEffect **effect, Sink *sink)
 {
-  g_cond_init (&waiter->cond);
-  g_queue_init (&waiter->effects);
+  const Sink *found;
+  uint64_t request;
+
   g_mutex_lock (&engine->lock);
-  waiter->request = ++engine->next_request;
-  g_hash_table_insert (engine->waiters, &waiter->request, waiter);
+  *effect = g_queue_pop_head (&engine->deliveries);
+  request = *effect != NULL ? request_of (*effect) : 0;
+  found = g_hash_table_lookup (engine->sinks, &request);
+  *sink = found != NULL ? *found : (Sink){ 0 };
   g_mutex_unlock (&engine->lock);
+  return *effect != NULL;
+}
+
+static void
+on_delivered (struct ev_loop *loop, ev_async *watcher, int events)
+{
+  GsEngine *engine = watcher->data;
+  GsEffect *effect;
+  Sink sink;
+
+  (void)loop;
+  (void)events;
+  while (next_delivery (engine, &effect, &sink))
+    {
+      if (sink.take != NULL)
+        sink.take (effect, sink.data);
+      g_free (effect);
+    }
+  g_mutex_lock (&engine->lock);
+  if (engine->ticked_us + gs_core_next_tick_us (engine->core) < engine->tick_due_us)
+    arm_tick (engine);
+  g_mutex_unlock (&engine->lock);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  GsEvent event = { .kind = GS_EVENT_TICK };
+
+  (void)loop;
+  (void)events;
+  gs_engine_post (watcher->data, &event);
+}
+
+uint64_t
+gs_engine_open (GsEngine *engine, GsEffectSink take, void *data)
+{
+  Sink *sink = g_new (Sink, 1);
+  uint64_t request;
+
+  *sink = (Sink){ .take = take, .data = data };
+  g_mutex_lock (&engine->lock);
+  request = ++engine->next_request;
+  g_hash_table_insert (engine->sinks, g_memdup2 (&request, sizeof request), sink);
+  g_mutex_unlock (&engine->lock);
+  return request;
 }
 
 void
-gs_engine_close (GsEngine *engine, GsWaiter *waiter)
+gs_engine_close (GsEngine *engine, uint64_t request)
 {
   g_mutex_lock (&engine->lock);
-  g_hash_table_remove (engine->waiters, &waiter->request);
+  g_hash_table_remove (engine->sinks, &request);
   g_mutex_unlock (&engine->lock);
-  g_queue_clear_full (&waiter->effects, g_free);
-  g_cond_clear (&waiter->cond);
 }
 
 bool
-gs_engine_next (GsEngine *engine, GsWaiter *waiter, int64_t wait_us, GsEffect *effect)
+gs_engine_ask_entries (GsEngine *engine, GsEntriesEvent question, GsEntriesEffect *entries)
 {
-  int64_t until_us = g_get_monotonic_time () + wait_us;
-  GsEffect *next;
+  GsEvent event = { .kind = GS_EVENT_ENTRIES, .entries = question };
+  GsEffect *last;
+  bool answered = false;
 
   g_mutex_lock (&engine->lock);
-  while (g_queue_is_empty (&waiter->effects)
-         && g_cond_wait_until (&waiter->cond, &engine->lock, until_us))
-    ;
-  next = g_queue_pop_head (&waiter->effects);
+  event.entries.request = ++engine->next_request;
+  reduce (engine, &event);
+  last = g_queue_peek_tail (&engine->deliveries);
+  if (last != NULL && last->kind == GS_EFFECT_ENTRIES
+      && last->entries.request == event.entries.request)
+    {
+      *entries = last->entries;
+      answered = !last->entries.unavailable;
+      g_free (g_queue_pop_tail (&engine->deliveries));
+    }
+  g_mutex_unlock (&engine->lock);
+  return answered;
+}
+
+void
+gs_engine_set_drop (GsEngine *engine, GsDropSink drop, void *data)
+{
+  g_mutex_lock (&engine->lock);
+  engine->drop = drop;
+  engine->drop_data = data;
   g_mutex_unlock (&engine->lock);
-  if (next == NULL)
-    return false;
-  *effect = *next;
-  g_free (next);
-  return true;
 }
 
 const GsCore *
@@ -494,36 +584,6 @@
   gs_wire_clear (&message);
 }
 
-/* Sleeps until the reducer wants the time, which other events may bring forward. */
-static void
-wait_for_tick (GsEngine *engine, int64_t ticked_us)
-{
-  g_mutex_lock (&engine->lock);
-  for (;;)
-    {
-      engine->tick_due_us = ticked_us + gs_core_next_tick_us (engine->core);
-      if (g_atomic_int_get (&engine->ending) || g_get_monotonic_time () >= engine->tick_due_us
-          || !g_cond_wait_until (&engine->tick_cond, &engine->lock, engine->tick_due_us))
-        break;
-    }
-  engine->tick_due_us = 0;
-  g_mutex_unlock (&engine->lock);
-}
-
-static gpointer
-tick (gpointer data)
-{
-  GsEngine *engine = data;
-
-  while (!g_atomic_int_get (&engine->ending))
-    {
-      GsEvent event = { .kind = GS_EVENT_TICK };
-      gs_engine_post (engine, &event);
-      wait_for_tick (engine, event.now_us);
-    }
-  return NULL;
-}
-
 static void
 make_core (GsEngine *engine)
 {
@@ -565,8 +625,8 @@
 {
   const GsSettings *settings = options->settings;
   GsEngine *engine = g_new0 (GsEngine, 1);
-  GsClientOptions client = options->client;
-  GsPeerOptions peer = { .ipv4 = settings->address,
+  GsPeerOptions peer = { .loop = options->loop,
+                         .ipv4 = settings->address,
                          .port = (uint16_t)settings->peer_port,
                          .public_key = settings->peer_public_key,
                          .secret_key = settings->peer_secret_key,
@@ -574,43 +634,43 @@
                          .data = engine };
 
   g_mutex_init (&engine->lock);
-  g_cond_init (&engine->tick_cond);
+  engine->loop = options->loop;
+  engine->owner = g_thread_self ();
   engine->settings = settings;
   engine->parse_tables = options->parse_tables != NULL ? options->parse_tables : gs_tables_parse;
-  client.max_idle = settings->connections_per_upstream;
   engine->incarnation = (uint64_t)g_get_real_time ();
-  engine->waiters = g_hash_table_new (g_int64_hash, g_int64_equal);
+  engine->sinks = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  g_queue_init (&engine->deliveries);
   engine->claims = g_async_queue_new_full (g_free);
-  engine->client = gs_client_new (&client);
   make_core (engine);
+  ev_async_init (&engine->delivered, on_delivered);
+  ev_timer_init (&engine->tick, on_tick, 0., 0.);
+  engine->delivered.data = engine;
+  engine->tick.data = engine;
+  ev_async_start (engine->loop, &engine->delivered);
   engine->peer = gs_peer_new (&peer, error);
   if (engine->peer == NULL)
     {
       gs_engine_free (engine);
       return NULL;
     }
-  engine->ticker = g_thread_new ("ticker", tick, engine);
   join_seeds (engine);
+  arm_tick (engine);
   return engine;
 }
 
 void
 gs_engine_free (GsEngine *engine)
 {
-  g_atomic_int_set (&engine->ending, 1);
-  g_mutex_lock (&engine->lock);
-  g_cond_signal (&engine->tick_cond);
-  g_mutex_unlock (&engine->lock);
-  if (engine->ticker != NULL)
-    g_thread_join (engine->ticker);
+  ev_timer_stop (engine->loop, &engine->tick);
+  ev_async_stop (engine->loop, &engine->delivered);
   gs_peer_free (engine->peer);
   gs_core_free (engine->core);
   gs_effects_free (engine->effects);
-  gs_client_free (engine->client);
-  g_hash_table_destroy (engine->waiters);
+  g_hash_table_destroy (engine->sinks);
+  g_queue_clear_full (&engine->deliveries, g_free);
   g_async_queue_unref (engine->claims);
   g_mutex_clear (&engine->lock);
-  g_cond_clear (&engine->tick_cond);
   g_free (engine);
 }
 
@@ -635,10 +695,10 @@
   return engine->settings;
 }
 
-GsClient *
-gs_engine_client (const GsEngine *engine)
+struct ev_loop *
+gs_engine_loop (const GsEngine *engine)
 {
-  return engine->client;
+  return engine->loop;
 }
 
 uint64_t
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -3,18 +3,18 @@
  *   engine - runs the reducer: turns the world into events and effects into calls
  *
  * DESCRIPTION
- *   Holds the core behind one lock. Any thread posts events; effects that belong to a request go to
- * the thread that waits for it, all others are carried out at once. A ticker posts the time. The
- * engine decides nothing.
+ *   Holds the core behind one lock. Any thread posts events; effects that belong to a request are
+ * handed to its sink by the event loop, all others are carried out at once. A timer posts the time.
+ * The engine decides nothing.
  */
 #ifndef GS_ENGINE_H
 #define GS_ENGINE_H
 
+#include <ev.h>
 #include <glib.h>
 
 #include "../config/settings.h"
 #include "../core/core.h"
-#include "../http/exchange.h"
 
 enum
 {
@@ -27,13 +27,11 @@
 
 typedef struct GsEngine GsEngine;
 
-/** A request's place to wait for its effects. */
-typedef struct
-{
-  uint64_t request;
-  GCond cond;
-  GQueue effects; /* of GsEffect, owned */
-} GsWaiter;
+/** Takes an effect of one request, on the loop's thread. */
+typedef void (*GsEffectSink) (const GsEffect *effect, void *data);
+
+/** Closes what is kept open to an upstream, on any thread. */
+typedef void (*GsDropSink) (uint32_t ipv4, uint16_t port, void *data);
 
 /** Parses the tables of a workspace, as gs_tables_parse does. */
 typedef GsDocument *(*GsTablesParser) (const char *workspace,
@@ -47,26 +45,28 @@
 {
   const GsSettings *settings;  /**< must outlive the engine */
   GsTablesParser parse_tables; /**< NULL: the product's YAML */
-  GsClientOptions client;      /**< its max_idle is the settings' */
+  struct ev_loop *loop;        /**< run by the thread that makes the engine */
 } GsEngineOptions;
 
-/** RETURN VALUE: an engine whose threads run, or NULL with ERROR. */
+/** RETURN VALUE: an engine that works while its loop runs, or NULL with ERROR. */
 GsEngine *gs_engine_new (const GsEngineOptions *options, GError **error);
 
-/** Stops all threads. */
 void gs_engine_free (GsEngine *engine);
 
 /** Reduces EVENT (its time is set here) and carries its effects out. */
 void gs_engine_post (GsEngine *engine, GsEvent *event);
 
-/** Opens WAITER for a new request number. */
-void gs_engine_open (GsEngine *engine, GsWaiter *waiter);
+/** RETURN VALUE: a new request number, whose effects go to SINK with DATA. */
+uint64_t gs_engine_open (GsEngine *engine, GsEffectSink sink, void *data);
+
+/** Drops later effects of REQUEST. */
+void gs_engine_close (GsEngine *engine, uint64_t request);
 
-/** Closes WAITER; later effects of its request are dropped. */
-void gs_engine_close (GsEngine *engine, GsWaiter *waiter);
+/** Puts QUESTION to the reducer. RETURN VALUE: false when it cannot name a daemon. */
+bool gs_engine_ask_entries (GsEngine *engine, GsEntriesEvent question, GsEntriesEffect *entries);
 
-/** Waits for the next effect of WAITER for WAIT_US. RETURN VALUE: true and EFFECT, or false. */
-bool gs_engine_next (GsEngine *engine, GsWaiter *waiter, int64_t wait_us, GsEffect *effect);
+/** Sets what closes connections to an upstream that the reducer gives up. */
+void gs_engine_set_drop (GsEngine *engine, GsDropSink drop, void *data);
 
 /** Locks the core for reading its state. */
 const GsCore *gs_engine_lock (GsEngine *engine);
@@ -82,7 +82,7 @@
 bool gs_engine_stopping (const GsEngine *engine);
 
 const GsSettings *gs_engine_settings (const GsEngine *engine);
-GsClient *gs_engine_client (const GsEngine *engine);
+struct ev_loop *gs_engine_loop (const GsEngine *engine);
 uint64_t gs_engine_incarnation (const GsEngine *engine);
 
 /** Sends the daemon at TO a pull for all tables above FROM. */
--- a/src/gentian/daemon/feed.c
+++ b/src/gentian/daemon/feed.c
@@ -1,5 +1,6 @@
 #include "feed.h"
 
+#include <ev.h>
 #include <string.h>
 
 #include "../log/log.h"
@@ -22,7 +23,7 @@
 /** While the store is away: pause of the reader, and mean pause of the others. */
 #define FEED_AWAY_US (500 * GS_US_PER_MS)
 #define FEED_AWAY_OTHERS_US (2500 * GS_US_PER_MS)
-/** Sleep of a daemon that does not read. */
+/** Pause of a daemon that does not read, before it looks again whether it has to. */
 #define FEED_IDLE_US (150 * GS_US_PER_MS)
 /** A fleet that starts for the first time knows its members within this time; then few read. */
 #define FEED_FIRST_SETTLE_US (400 * GS_US_PER_MS)
@@ -30,54 +31,62 @@
 #define FEED_SETTLE_US (40 * GS_US_PER_MS)
 #define FEED_PULL_US (300 * GS_US_PER_MS)
 
+/** Time after which a thread for calls of the store ends that has had none. */
+#define FEED_THREAD_IDLE_MS 5000
+
+enum
+{
+  FEED_THREADS = 2, /* for a call of each topic */
+};
+
+/* A call of the store, made by a thread of its own; the loop takes what it brought. */
+typedef struct
+{
+  GsStoreTopic topic;
+  bool newest; /* in place of the records from a position on */
+  uint64_t from;
+  GsStoreState state; /* of the store, as known before */
+  GsStoreResult result;
+  GsStorePage page;
+  GArray *changes; /* of GsRegistryChange, of the page of registrations */
+} Call;
+
 struct GsFeed
 {
   GsEngine *engine;
   GsStore *registrations;
   GsStore *tables;
-  GThread *registrations_thread;
-  GThread *tables_thread;
-  gint ending;
-  GMutex lock;
-  GCond wake; /* at the end */
-  /* of the registrations thread */
-  GsRegistry *seen; /* what was read here, to tell heartbeats from changes */
+  GThreadPool *threads;
+  GAsyncQueue *ended; /* of Call */
+  ev_async call_ended;
+  ev_timer look;        /* whether to read */
+  ev_timer tables_look; /* when to read the tables again */
+  GsRegistry *seen; /* what was read here, to tell heartbeats from changes; of the running call */
   uint64_t position;
   bool started;
+  bool calling; /* a call for registrations is under way */
+  uint32_t rank;
   int64_t begun_us;
   int64_t help_until_us;
   int64_t back_us; /* when the store began to answer again; 0: it always did */
   GsRandom random;
-  /* shared */
-  gint away;
-  gint reading;
-  /* of the tables thread */
+  bool away;
+  bool reading;
   uint64_t tables_position;
   bool tables_started;
-  int64_t next_pull_us; /* of both threads, under the lock */
+  bool tables_calling;
+  int64_t next_pull_us;
 };
 
-static void
-pause_for (GsFeed *feed, int64_t pause_us)
-{
-  int64_t until_us = g_get_monotonic_time () + pause_us;
-
-  g_mutex_lock (&feed->lock);
-  while (!g_atomic_int_get (&feed->ending)
-         && g_cond_wait_until (&feed->wake, &feed->lock, until_us))
-    ;
-  g_mutex_unlock (&feed->lock);
-}
-
 /* Notes whether the store answered, with a log line at each change. */
 static void
 note_store (GsFeed *feed, GsStoreResult result)
 {
   bool away = result == GS_STORE_AWAY || result == GS_STORE_BUSY;
 
-  if (g_atomic_int_get (&feed->away) == (away ? 1 : 0))
+  if (feed->away == away)
     return;
-  g_atomic_int_set (&feed->away, away ? 1 : 0);
+  feed->away = away;
   if (away)
     gs_log (GS_NOTICE_STORE_AWAY, "topic=registrations result=%s position=%" G_GUINT64_FORMAT,
             result == GS_STORE_BUSY ? "rate-limited" : "no-answer", feed->position);
@@ -92,7 +101,7 @@
 static GsStoreState
 store_state (const GsFeed *feed)
 {
-  GsStoreState state = { .away = feed->away != 0, .settled_us = INT64_MAX };
+  GsStoreState state = { .away = feed->away, .settled_us = INT64_MAX };
 
   if (feed->back_us != 0)
     state.settled_us = g_get_monotonic_time () - feed->back_us;
@@ -120,30 +129,39 @@
   return change;
 }
 
-/* Posts what PAGE holds; of a page that is not ALL only what changes something. */
+/* Decodes what the page holds; of a page that is not of all registrations only what changes
+ * something. */
 static void
-post_page (GsFeed *feed, const GsStorePage *page, bool all)
+decode_page (const GsFeed *feed, Call *call)
 {
-  g_autoptr (GArray) changes = g_array_new (FALSE, FALSE, sizeof (GsRegistryChange));
-  GsStoreState state = store_state (feed);
-  GsEvent event
-      = { .kind = GS_EVENT_REGISTRY,
-          .registry.news
-          = { .from = feed->position, .to = page->end, .all = all, .own = true, .store = state } };
+  int64_t now_us = g_get_monotonic_time ();
 
-  for (guint i = 0; i < page->records->len; i++)
+  call->changes = g_array_new (FALSE, FALSE, sizeof (GsRegistryChange));
+  for (guint i = 0; i < call->page.records->len; i++)
     {
-      const GsStoreRecord *record = &g_array_index (page->records, GsStoreRecord, i);
+      const GsStoreRecord *record = &g_array_index (call->page.records, GsStoreRecord, i);
       GsRegistryChange change = decode (feed, record);
-      if (all || gs_registry_take (feed->seen, &change, &state, g_get_monotonic_time ()))
-        g_array_append_val (changes, change);
+      if (call->newest || gs_registry_take (feed->seen, &change, &call->state, now_us))
+        g_array_append_val (call->changes, change);
     }
-  if (all)
-    gs_registry_take_all (feed->seen, (const GsRegistryChange *)(const void *)changes->data,
-                          changes->len, page->end, &state, g_get_monotonic_time ());
-  event.registry.news.changes = (const GsRegistryChange *)(const void *)changes->data;
-  event.registry.news.n_changes = changes->len;
-  feed->position = MAX (feed->position, page->end);
+  if (call->newest)
+    gs_registry_take_all (feed->seen, (const GsRegistryChange *)(const void *)call->changes->data,
+                          call->changes->len, call->page.end, &call->state, now_us);
+}
+
+static void
+post_page (GsFeed *feed, const Call *call)
+{
+  GsEvent event = { .kind = GS_EVENT_REGISTRY,
+                    .registry.news = { .from = feed->position,
+                                       .to = call->page.end,
+                                       .all = call->newest,
+                                       .own = true,
+                                       .store = store_state (feed) } };
+
+  event.registry.news.changes = (const GsRegistryChange *)(const void *)call->changes->data;
+  event.registry.news.n_changes = call->changes->len;
+  feed->position = MAX (feed->position, call->page.end);
   gs_engine_post (feed->engine, &event);
 }
 
@@ -161,28 +179,6 @@
     gs_engine_post (feed->engine, &event);
 }
 
-static GsStoreResult
-read_registrations (GsFeed *feed)
-{
-  GsStorePage page;
-  GsStoreResult result;
-
-  if (!feed->started)
-    result = gs_store_newest (feed->registrations, GS_STORE_REGISTRATIONS, &page);
-  else
-    result = gs_store_read (feed->registrations, GS_STORE_REGISTRATIONS, feed->position, 0, &page);
-  note_store (feed, result);
-  if (result == GS_STORE_OK)
-    {
-      post_page (feed, &page, !feed->started);
-      feed->started = true;
-    }
-  else if (result == GS_STORE_GAP)
-    feed->started = false;
-  gs_store_page_clear (&page);
-  return result;
-}
-
 static uint32_t
 reader_rank (GsFeed *feed)
 {
@@ -252,8 +248,7 @@
   return gs_engine_settings (feed->engine)->first_start ? FEED_FIRST_SETTLE_US : FEED_SETTLE_US;
 }
 
-/* Pulls from a peer whose tables are newer. Both threads do: the one that reads the tables may wait
- * at a connection that has gone silent. */
+/* Pulls from a peer whose tables are newer. */
 static void
 pull_tables (GsFeed *feed)
 {
@@ -261,44 +256,13 @@
   const GsCore *core = gs_engine_lock (feed->engine);
   uint64_t position = gs_fold_position (gs_core_fold (core));
   GsPeerAddress address;
-  bool due;
   uint64_t best = gs_members_best_position (gs_core_members (core), &address);
 
   gs_engine_unlock (feed->engine);
-  g_mutex_lock (&feed->lock);
-  due = best > position && now_us >= feed->next_pull_us;
-  if (due)
-    feed->next_pull_us = now_us + FEED_PULL_US;
-  g_mutex_unlock (&feed->lock);
-  if (due)
-    gs_engine_pull_copy (feed->engine, &address, 0);
-}
-
-static gpointer
-follow_registrations (gpointer data)
-{
-  GsFeed *feed = data;
-
-  pause_for (feed, settle_us (feed));
-  while (!g_atomic_int_get (&feed->ending))
-    {
-      uint32_t rank = reader_rank (feed);
-      bool reading = must_read (feed, rank);
-      GsStoreResult result;
-      g_atomic_int_set (&feed->reading, reading ? 1 : 0);
-      pull_tables (feed);
-      if (!reading)
-        {
-          feed->started = false; /* start anew from the newest records when needed */
-          pause_for (feed, FEED_IDLE_US);
-          continue;
-        }
-      result = read_registrations (feed);
-      if (result == GS_STORE_AWAY || result == GS_STORE_BUSY)
-        post_away (feed);
-      pause_for (feed, pause_after (feed, result, rank));
-    }
-  return NULL;
+  if (best <= position || now_us < feed->next_pull_us)
+    return;
+  feed->next_pull_us = now_us + FEED_PULL_US;
+  gs_engine_pull_copy (feed->engine, &address, 0);
 }
 
 static uint64_t
@@ -359,47 +323,152 @@
   feed->tables_position = page->end;
 }
 
-static GsStoreResult
-read_tables (GsFeed *feed)
+/* Makes a call, on a thread for calls. */
+static void
+make_call (gpointer data, gpointer user_data)
 {
-  GsStorePage page;
-  GsStoreResult result;
+  Call *call = data;
+  GsFeed *feed = user_data;
+  bool tables = call->topic == GS_STORE_TABLES;
+  GsStore *store = tables ? feed->tables : feed->registrations;
 
-  if (!feed->tables_started)
-    result = gs_store_newest (feed->tables, GS_STORE_TABLES, &page);
+  if (call->newest)
+    call->result = gs_store_newest (store, call->topic, &call->page);
   else
-    result = gs_store_read (feed->tables, GS_STORE_TABLES, feed->tables_position,
-                            FEED_TABLES_WAIT_MS, &page);
-  if (result == GS_STORE_OK)
+    call->result = gs_store_read (store, call->topic, call->from, tables ? FEED_TABLES_WAIT_MS : 0,
+                                  &call->page);
+  if (!tables && call->result == GS_STORE_OK)
+    decode_page (feed, call);
+  g_async_queue_push (feed->ended, call);
+  ev_async_send (gs_engine_loop (feed->engine), &feed->call_ended);
+}
+
+static void
+free_call (gpointer data)
+{
+  Call *call = data;
+
+  gs_store_page_clear (&call->page);
+  if (call->changes != NULL)
+    g_array_unref (call->changes);
+  g_free (call);
+}
+
+static void
+begin_call (GsFeed *feed, GsStoreTopic topic, bool newest, uint64_t from)
+{
+  Call *call = g_new0 (Call, 1);
+
+  call->topic = topic;
+  call->newest = newest;
+  call->from = from;
+  call->state = store_state (feed);
+  g_thread_pool_push (feed->threads, call, NULL);
+}
+
+static void
+start_timer (GsFeed *feed, ev_timer *timer, int64_t after_us)
+{
+  struct ev_loop *loop = gs_engine_loop (feed->engine);
+
+  ev_timer_stop (loop, timer);
+  ev_timer_set (timer, (double)after_us / GS_US_PER_S, 0.);
+  ev_timer_start (loop, timer);
+}
+
+static void
+look_at_tables (GsFeed *feed)
+{
+  if (feed->tables_calling || ev_is_active (&feed->tables_look))
+    return;
+  if (!feed->reading && !knows_nothing (feed))
     {
-      take_tables (feed, &page);
+      feed->tables_started = false;
+      return;
+    }
+  feed->tables_calling = true;
+  begin_call (feed, GS_STORE_TABLES, !feed->tables_started, feed->tables_position);
+}
+
+static void
+on_tables_look (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  look_at_tables (watcher->data);
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  GsFeed *feed = watcher->data;
+
+  (void)loop;
+  (void)events;
+  feed->rank = reader_rank (feed);
+  feed->reading = must_read (feed, feed->rank);
+  pull_tables (feed);
+  look_at_tables (feed);
+  if (!feed->reading || feed->calling)
+    {
+      feed->started = feed->started && feed->reading; /* or anew from the newest records */
+      start_timer (feed, &feed->look, FEED_IDLE_US);
+      return;
+    }
+  feed->calling = true;
+  begin_call (feed, GS_STORE_REGISTRATIONS, !feed->started, feed->position);
+}
+
+static void
+end_registrations_call (GsFeed *feed, const Call *call)
+{
+  feed->calling = false;
+  note_store (feed, call->result);
+  if (call->result == GS_STORE_OK)
+    {
+      post_page (feed, call);
+      feed->started = true;
+    }
+  else if (call->result == GS_STORE_GAP)
+    feed->started = false;
+  else
+    post_away (feed);
+  start_timer (feed, &feed->look, pause_after (feed, call->result, feed->rank));
+}
+
+static void
+end_tables_call (GsFeed *feed, const Call *call)
+{
+  feed->tables_calling = false;
+  if (call->result == GS_STORE_OK)
+    {
+      take_tables (feed, &call->page);
       feed->tables_started = true;
     }
-  else if (result == GS_STORE_GAP)
+  else if (call->result == GS_STORE_GAP)
     feed->tables_started = false;
-  gs_store_page_clear (&page);
-  return result;
+  if (call->result == GS_STORE_OK || call->result == GS_STORE_GAP)
+    look_at_tables (feed);
+  else
+    start_timer (feed, &feed->tables_look, feed->reading ? FEED_AWAY_US : FEED_IDLE_US);
 }
 
-static gpointer
-follow_tables (gpointer data)
+static void
+on_call_ended (struct ev_loop *loop, ev_async *watcher, int events)
 {
-  GsFeed *feed = data;
+  GsFeed *feed = watcher->data;
+  Call *call;
 
-  pause_for (feed, settle_us (feed));
-  while (!g_atomic_int_get (&feed->ending))
+  (void)loop;
+  (void)events;
+  while ((call = g_async_queue_try_pop (feed->ended)) != NULL)
     {
-      GsStoreResult result = GS_STORE_AWAY;
-      pull_tables (feed);
-      if (g_atomic_int_get (&feed->reading) || knows_nothing (feed))
-        result = read_tables (feed);
+      if (call->topic == GS_STORE_TABLES)
+        end_tables_call (feed, call);
       else
-        feed->tables_started = false;
-      if (result == GS_STORE_OK || result == GS_STORE_GAP)
-        continue;
-      pause_for (feed, g_atomic_int_get (&feed->reading) ? FEED_AWAY_US : FEED_IDLE_US);
+        end_registrations_call (feed, call);
+      free_call (call);
     }
-  return NULL;
 }
 
 GsFeed *
@@ -413,28 +482,35 @@
   feed->seen = gs_registry_new ();
   feed->begun_us = g_get_monotonic_time ();
   feed->random.state = gs_engine_incarnation (options->engine);
-  g_mutex_init (&feed->lock);
-  g_cond_init (&feed->wake);
-  feed->registrations_thread = g_thread_new ("registrations", follow_registrations, feed);
-  feed->tables_thread = g_thread_new ("tables", follow_tables, feed);
+  feed->ended = g_async_queue_new_full (free_call);
+  g_thread_pool_set_max_idle_time (FEED_THREAD_IDLE_MS);
+  feed->threads = g_thread_pool_new (make_call, feed, FEED_THREADS, FALSE, NULL);
+  ev_async_init (&feed->call_ended, on_call_ended);
+  ev_timer_init (&feed->look, on_look, 0., 0.);
+  ev_timer_init (&feed->tables_look, on_tables_look, 0., 0.);
+  feed->call_ended.data = feed;
+  feed->look.data = feed;
+  feed->tables_look.data = feed;
+  ev_async_start (gs_engine_loop (feed->engine), &feed->call_ended);
+  start_timer (feed, &feed->look, settle_us (feed));
   return feed;
 }
 
 void
 gs_feed_free (GsFeed *feed)
 {
+  struct ev_loop *loop;
+
   if (feed == NULL)
     return;
-  g_atomic_int_set (&feed->ending, 1);
-  g_mutex_lock (&feed->lock);
-  g_cond_broadcast (&feed->wake);
-  g_mutex_unlock (&feed->lock);
-  g_thread_join (feed->registrations_thread);
-  g_thread_join (feed->tables_thread);
+  loop = gs_engine_loop (feed->engine);
+  g_thread_pool_free (feed->threads, TRUE, TRUE);
+  ev_async_stop (loop, &feed->call_ended);
+  ev_timer_stop (loop, &feed->look);
+  ev_timer_stop (loop, &feed->tables_look);
+  g_async_queue_unref (feed->ended);
   gs_store_free (feed->registrations);
   gs_store_free (feed->tables);
   gs_registry_free (feed->seen);
-  g_cond_clear (&feed->wake);
-  g_mutex_clear (&feed->lock);
   g_free (feed);
 }
--- a/src/gentian/daemon/feed.h
+++ b/src/gentian/daemon/feed.h
@@ -10,7 +10,8 @@
  * while the store is away the others try now and then, so that its return is noticed soon and
  * without a herd.
  *
- *   Two threads, each with a connection of its own to the store.
+ *   Decisions are taken in the engine's loop; a call of the store blocks a thread that lives while
+ * there are calls, with a connection of its own for each topic.
  */
 #ifndef GS_FEED_H
 #define GS_FEED_H
@@ -28,7 +29,7 @@
 
 typedef struct GsFeed GsFeed;
 
-/** RETURN VALUE: a feed whose threads run. */
+/** RETURN VALUE: a feed that works while the engine's loop runs. */
 GsFeed *gs_feed_new (const GsFeedOptions *options);
 void gs_feed_free (GsFeed *feed);
 
--- /dev/null
+++ b/src/gentian/http/client.c
@@ -0,0 +1,160 @@
+#include "client.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <sys/socket.h>
+
+/** Period at which idle connections are looked through for those to close. */
+#define CLIENT_SWEEP_S 1.0
+
+struct GsClient
+{
+  GHashTable *idle; /* address -> GQueue of GsConnection, the last used first */
+  GsClientOptions options;
+  ev_timer sweep;
+};
+
+static void
+free_connection (gpointer data)
+{
+  GsConnection *connection = data;
+
+  curl_easy_cleanup (connection->easy);
+  curl_multi_cleanup (connection->multi);
+  g_free (connection);
+}
+
+static void
+free_queue (gpointer data)
+{
+  g_queue_free_full (data, free_connection);
+}
+
+/* Closes the connections whose time is up; the oldest stand last. RETURN VALUE: whether none is
+ * left. */
+static gboolean
+expire (gpointer key, gpointer value, gpointer data)
+{
+  GQueue *queue = value;
+  const int64_t *now_us = data;
+  GsConnection *last;
+
+  (void)key;
+  while ((last = g_queue_peek_tail (queue)) != NULL && last->idle_until_us <= *now_us)
+    free_connection (g_queue_pop_tail (queue));
+  return g_queue_is_empty (queue);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  GsClient *client = watcher->data;
+  int64_t now_us = g_get_monotonic_time ();
+
+  (void)events;
+  g_hash_table_foreach_remove (client->idle, expire, &now_us);
+  if (g_hash_table_size (client->idle) == 0)
+    ev_timer_stop (loop, watcher);
+}
+
+GsClient *
+gs_client_new (const GsClientOptions *options)
+{
+  GsClient *client = g_new0 (GsClient, 1);
+
+  client->options = *options;
+  client->idle = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_queue);
+  ev_timer_init (&client->sweep, on_sweep, CLIENT_SWEEP_S, CLIENT_SWEEP_S);
+  client->sweep.data = client;
+  return client;
+}
+
+void
+gs_client_free (GsClient *client)
+{
+  if (client == NULL)
+    return;
+  ev_timer_stop (client->options.loop, &client->sweep);
+  g_hash_table_destroy (client->idle);
+  g_free (client);
+}
+
+const GsClientOptions *
+gs_client_options (const GsClient *client)
+{
+  return &client->options;
+}
+
+static int64_t
+address_key (uint32_t ipv4, uint16_t port)
+{
+  return (int64_t)ipv4 << 16 | port;
+}
+
+void
+gs_client_drop (GsClient *client, uint32_t ipv4, uint16_t port)
+{
+  int64_t key = address_key (ipv4, port);
+
+  g_hash_table_remove (client->idle, &key);
+}
+
+static GsConnection *
+new_connection (void)
+{
+  GsConnection *connection = g_new0 (GsConnection, 1);
+
+  connection->easy = curl_easy_init ();
+  connection->multi = curl_multi_init ();
+  curl_multi_setopt (connection->multi, CURLMOPT_MAXCONNECTS, 1L);
+  return connection;
+}
+
+/* Bytes that nobody asked for, or the end of the connection, make it useless. */
+static bool
+is_quiet (const GsConnection *connection)
+{
+  char byte;
+
+  return connection->socket != CURL_SOCKET_BAD
+         && recv (connection->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+GsConnection *
+gs_client_borrow (GsClient *client, uint32_t ipv4, uint16_t port)
+{
+  int64_t key = address_key (ipv4, port);
+  GQueue *queue = g_hash_table_lookup (client->idle, &key);
+  GsConnection *connection;
+
+  while (queue != NULL && (connection = g_queue_pop_head (queue)) != NULL)
+    {
+      if (g_get_monotonic_time () < connection->idle_until_us && is_quiet (connection))
+        return connection;
+      free_connection (connection);
+    }
+  return new_connection ();
+}
+
+void
+gs_client_give_back (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection)
+{
+  int64_t key = address_key (ipv4, port);
+  GQueue *queue = g_hash_table_lookup (client->idle, &key);
+
+  if (!connection->connected
+      || (queue != NULL && g_queue_get_length (queue) >= client->options.max_idle))
+    {
+      free_connection (connection);
+      return;
+    }
+  if (queue == NULL)
+    {
+      queue = g_queue_new ();
+      g_hash_table_insert (client->idle, g_memdup2 (&key, sizeof key), queue);
+    }
+  g_queue_push_head (queue, connection);
+  if (!ev_is_active (&client->sweep))
+    ev_timer_again (client->options.loop, &client->sweep);
+}
--- a/src/gentian/http/entries.c
+++ b/src/gentian/http/entries.c
@@ -1,8 +1,10 @@
 #include "entries.h"
 
+#include <jansson.h>
 #include <string.h>
 
 #include "../log/counter.h"
+#include "exchange.h"
 
 /* Ticket: INSTANCE.INCARNATION.NUMBER.SIGNATURE, all numbers in hex. */
 static char *
@@ -48,123 +50,151 @@
                     member->failure_domain);
 }
 
+struct GsEntriesQuestion
+{
+  GsEntriesOptions options;
+  GsEntriesEvent event;
+  GsEntriesEffect entries;
+  char *host;
+  char *path;
+  char *target;
+  uint32_t next_home; /* of entries.members */
+  GsExchange *exchange;
+};
+
+static void
+free_question (GsEntriesQuestion *question)
+{
+  gs_exchange_free (question->exchange);
+  g_free (question->host);
+  g_free (question->path);
+  g_free (question->target);
+  g_free (question);
+}
+
+/* Hands the answer over and ends the question. */
+static void
+finish (GsEntriesQuestion *question, const char *body, size_t length)
+{
+  GsEntriesAnswer answer = { .body = body, .length = length };
+
+  question->options.done (&answer, question->options.data);
+  free_question (question);
+}
+
+static void
+add_ticket (GsEngine *engine, uint64_t number, json_t *answer)
+{
+  const GsSettings *settings = gs_engine_settings (engine);
+  g_autofree char *ticket = make_ticket (engine, number);
+  GsMemberFact self = { .ipv4 = settings->address, .entry_port = (uint16_t)settings->entry_port };
+
+  g_strlcpy (self.id, settings->instance, sizeof self.id);
+  g_strlcpy (self.failure_domain, settings->failure_domain, sizeof self.failure_domain);
+  json_object_set_new (answer, "ticket", json_string (ticket));
+  json_object_set_new (answer, "ticket_entry", describe_member (&self));
+}
+
 static void
-answer_entries (GsEngine *engine, const GsEntriesEffect *entries, struct _u_response *response)
+answer_here (GsEntriesQuestion *question)
 {
+  const GsEntriesEffect *entries = &question->entries;
   json_t *list = json_array ();
   json_t *answer;
+  char *text;
 
   for (uint32_t i = 0; i < entries->n_members; i++)
     json_array_append_new (list, describe_member (&entries->members[i]));
   answer = json_pack ("{s:o, s:I}", "entries", list, "life_ms",
                       (json_int_t)(entries->life_us / GS_US_PER_MS));
   if (entries->ticket != 0)
+    add_ticket (question->options.engine, entries->ticket, answer);
+  text = json_dumps (answer, JSON_COMPACT);
+  json_decref (answer);
+  finish (question, text, strlen (text));
+  free (text);
+}
+
+static void ask_home (GsEntriesQuestion *question);
+
+/* A home that does not answer is passed over; without one this daemon issues the ticket. */
+static void
+home_answered (void *data)
+{
+  GsEntriesQuestion *question = data;
+  size_t length;
+  const void *body = gs_exchange_body (question->exchange, &length);
+
+  if (gs_exchange_state (question->exchange) == GS_EXCHANGE_WHOLE
+      && gs_exchange_status (question->exchange) == 200)
     {
-      const GsSettings *settings = gs_engine_settings (engine);
-      g_autofree char *ticket = make_ticket (engine, entries->ticket);
-      GsMemberFact self
-          = { .ipv4 = settings->address, .entry_port = (uint16_t)settings->entry_port };
-      g_strlcpy (self.id, settings->instance, sizeof self.id);
-      g_strlcpy (self.failure_domain, settings->failure_domain, sizeof self.failure_domain);
-      json_object_set_new (answer, "ticket", json_string (ticket));
-      json_object_set_new (answer, "ticket_entry", describe_member (&self));
+      finish (question, body, length);
+      return;
     }
-  ulfius_set_json_body_response (response, 200, answer);
-  json_decref (answer);
+  g_clear_pointer (&question->exchange, gs_exchange_free);
+  if (question->next_home < question->entries.n_members)
+    {
+      ask_home (question);
+      return;
+    }
+  question->event.answer_here = true;
+  gs_engine_ask_entries (question->options.engine, question->event, &question->entries);
+  answer_here (question);
 }
 
-/* Puts the address question to a home, which can issue a ticket. RETURN VALUE: true when it
- * answered. */
-static bool
-ask_home (GsEngine *engine,
-          const GsMemberFact *home,
-          const struct _u_request *request,
-          struct _u_response *response)
+/* Puts the question to the next home, which can issue a ticket. */
+static void
+ask_home (GsEntriesQuestion *question)
 {
+  static const GsExchangeClass class = { .done = home_answered };
   g_autoptr (GPtrArray) headers = g_ptr_array_new ();
-  g_autofree char *target = g_strconcat (request->http_url, "&asked=1", NULL);
+  const GsMemberFact *home = &question->entries.members[question->next_home++];
   GsExchangeOptions options = { .ipv4 = home->ipv4,
                                 .port = home->entry_port,
                                 .method = "GET",
-                                .target = target,
+                                .target = question->target,
                                 .headers = headers,
                                 .timeout_us = GS_US_PER_S,
-                                .caller_fd = -1 };
-  GsExchange *exchange = gs_exchange_new (gs_engine_client (engine), &options);
-  size_t length;
-  const void *body;
-  bool answered;
-
-  gs_exchange_run (exchange);
-  answered
-      = gs_exchange_state (exchange) == GS_EXCHANGE_WHOLE && gs_exchange_status (exchange) == 200;
-  if (answered)
-    {
-      body = gs_exchange_body (exchange, &length);
-      u_map_put (response->map_header, "Content-Type", "application/json");
-      ulfius_set_binary_body_response (response, 200, body, length);
-    }
-  gs_exchange_free (exchange);
-  return answered;
-}
+                                .class = &class,
+                                .data = question };
 
-static bool
-relay_to_homes (GsEngine *engine,
-                const GsEntriesEffect *entries,
-                const struct _u_request *request,
-                struct _u_response *response)
-{
-  if (!entries->ask_home || u_map_has_key (request->map_url, "asked"))
-    return false;
-  for (uint32_t i = 0; i < entries->n_members; i++)
-    if (ask_home (engine, &entries->members[i], request, response))
-      return true;
-  return false;
+  question->exchange = gs_exchange_new (question->options.client, &options);
+  gs_exchange_start (question->exchange);
 }
 
-static GsEntriesEvent
-read_question (const struct _u_request *request)
+GsEntriesQuestion *
+gs_entries_ask (const GsEntriesOptions *options)
 {
-  GsEntriesEvent question = { .host = u_map_get (request->map_url, "host"),
-                              .path = u_map_get (request->map_url, "path") };
+  GsEntriesQuestion *question = g_new0 (GsEntriesQuestion, 1);
 
-  if (question.host != NULL && question.path == NULL)
-    question.path = "/";
-  return question;
-}
-
-bool
-gs_entries_ask (GsEngine *engine, GsEntriesEvent question, GsEntriesEffect *entries)
-{
-  GsWaiter waiter;
-  GsEffect effect;
-  GsEvent event = { .kind = GS_EVENT_ENTRIES, .entries = question };
-  bool answered;
-
-  gs_engine_open (engine, &waiter);
-  event.entries.request = waiter.request;
-  gs_engine_post (engine, &event);
-  answered = gs_engine_next (engine, &waiter, GS_US_PER_S, &effect);
-  gs_engine_close (engine, &waiter);
-  if (answered)
-    *entries = effect.entries;
-  return answered && !effect.entries.unavailable;
+  gs_counter_add (GS_COUNTER_ENTRIES, 1);
+  question->options = *options;
+  question->host = g_strdup (options->host);
+  question->path = g_strdup (options->path != NULL ? options->path : "/");
+  question->target = g_strconcat (options->target, "&asked=1", NULL);
+  question->event = (GsEntriesEvent){ .host = question->host, .path = question->path };
+  if (!gs_engine_ask_entries (options->engine, question->event, &question->entries))
+    {
+      finish (question, NULL, 0);
+      return NULL;
+    }
+  if (question->entries.ask_home && !options->asked && question->entries.n_members > 0)
+    {
+      ask_home (question);
+      return question;
+    }
+  if (question->entries.ask_home)
+    {
+      question->event.answer_here = true;
+      gs_engine_ask_entries (options->engine, question->event, &question->entries);
+    }
+  answer_here (question);
+  return NULL;
 }
 
-bool
-gs_entries_answer (GsEngine *engine, const struct _u_request *request, struct _u_response *response)
+void
+gs_entries_cancel (GsEntriesQuestion *question)
 {
-  GsEntriesEvent question = read_question (request);
-  GsEntriesEffect entries;
-
-  gs_counter_add (GS_COUNTER_ENTRIES, 1);
-  if (!gs_entries_ask (engine, question, &entries))
-    return false;
-  if (relay_to_homes (engine, &entries, request, response))
-    return true;
-  question.answer_here = true;
-  if (entries.ask_home)
-    gs_entries_ask (engine, question, &entries);
-  answer_entries (engine, &entries, response);
-  return true;
+  if (question != NULL)
+    free_question (question);
 }
--- a/src/gentian/http/entries.h
+++ b/src/gentian/http/entries.h
@@ -10,23 +10,42 @@
 #ifndef GS_ENTRIES_H
 #define GS_ENTRIES_H
 
-#include <ulfius.h>
-
 #include "../daemon/engine.h"
+#include "client.h"
 
 enum
 {
   GS_TICKET_TEXT_MAX = 320, /**< bytes of a ticket as text, with the final NUL */
 };
 
-/** Answers the question in REQUEST. RETURN VALUE: false when there are no tables; nothing is
- * answered. */
-bool gs_entries_answer (GsEngine *engine,
-                        const struct _u_request *request,
-                        struct _u_response *response);
+/** Answer to the address question: JSON, or no body where there are no tables. */
+typedef struct
+{
+  const char *body;
+  size_t length;
+} GsEntriesAnswer;
+
+/** A question. */
+typedef struct
+{
+  GsEngine *engine;
+  GsClient *client;
+  const char *target; /**< path with query, passed on to a home */
+  const char *host;   /**< NULL: any daemons */
+  const char *path;   /**< NULL: the root */
+  bool asked;         /**< another daemon has passed it on */
+  /** Takes the answer, perhaps before gs_entries_ask returns. */
+  void (*done) (const GsEntriesAnswer *answer, void *data);
+  void *data;
+} GsEntriesOptions;
+
+typedef struct GsEntriesQuestion GsEntriesQuestion;
+
+/** Asks. RETURN VALUE: a question under way, or NULL when it has been answered. */
+GsEntriesQuestion *gs_entries_ask (const GsEntriesOptions *options);
 
-/** Puts QUESTION to the reducer. RETURN VALUE: false when it cannot name a daemon. */
-bool gs_entries_ask (GsEngine *engine, GsEntriesEvent question, GsEntriesEffect *entries);
+/** Gives QUESTION up, which may be NULL. */
+void gs_entries_cancel (GsEntriesQuestion *question);
 
 /** Parses TICKET and checks its signature. RETURN VALUE: true and RIGHT, or false. */
 bool gs_ticket_parse (GsEngine *engine, const char *ticket, GsRight *right);
--- a/src/gentian/http/entry.h
+++ b/src/gentian/http/entry.h
@@ -3,9 +3,8 @@
  *   entry - the server for callers
  *
  * DESCRIPTION
- *   An ulfius server on the entry port, a thread for each connection. `GET /v1/entries` answers the
- * address question; every other request is carried to an upstream as the reducer decides. The
- * thread of a request makes its attempts itself and passes the answer on; a large answer streams.
+ *   A server on the entry port, in the engine's loop. `GET /v1/entries` answers the address
+ * question; every other request is carried to an upstream as the reducer decides, see passage.h.
  * Every answer that the daemon makes itself carries Gentian-Verdict and a JSON body that names the
  * reason.
  *
@@ -16,6 +15,7 @@
 #define GS_ENTRY_H
 
 #include "../daemon/engine.h"
+#include "client.h"
 #include "dialect.h"
 
 typedef struct GsEntry GsEntry;
@@ -25,6 +25,7 @@
 {
   GsEngine *engine;
   const GsDialect *dialect; /**< NULL: the product's own */
+  GsClientOptions client;   /**< its loop and max_idle are set here */
 } GsEntryOptions;
 
 /** RETURN VALUE: a started server, or NULL with ERROR when the port cannot be had. */
@@ -37,7 +38,7 @@
 void gs_entry_quiesce (GsEntry *entry);
 
 /** RETURN VALUE: requests in flight, answers that still stream included. */
-uint32_t gs_entry_in_flight (GsEntry *entry);
+uint32_t gs_entry_in_flight (const GsEntry *entry);
 
 /** Ends the server; requests in flight are cut. */
 void gs_entry_free (GsEntry *entry);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -1,7 +1,6 @@
 #include "exchange.h"
 
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -14,35 +13,27 @@
 {
   EXCHANGE_HEADERS_MAX = 100,
   EXCHANGE_HEADER_BYTES_MAX = 65536,
-  EXCHANGE_POLL_MS = 1000,
-  EXCHANGE_LATE_POLL_MS = 40,         /* while another attempt may be granted */
   EXCHANGE_CONNECT_TIMEOUT_MS = 1000, /* by default */
-  EXCHANGE_CHECK_DELAY_US = 10000,    /* for a crashing process to close its listener */
-  EXCHANGE_CHECK_CONNECT_US = 200000, /* for the check whether it accepts connections */
+  EXCHANGE_LIMIT_MIN_US = 500,        /* shortest sleep before a limit */
 };
 
-/* One connection: an easy handle whose own cache holds at most one. */
-typedef struct
-{
-  CURL *easy;
-  CURLM *multi;
-  bool connected; /* the last exchange left the connection open */
-  curl_socket_t socket;
-  int64_t idle_until_us; /* its server may close it from then on */
-} Connection;
-
-struct GsClient
-{
-  GMutex lock;
-  GHashTable *idle; /* address -> GQueue of Connection */
-  GsClientOptions options;
-};
+/** Time for a crashing process to close its listener. */
+#define EXCHANGE_CHECK_DELAY_S 0.01
+/** Limit of the check whether it accepts connections. */
+#define EXCHANGE_CHECK_CONNECT_S 0.2
 
 struct GsExchange
 {
   GsClient *client;
   GsExchangeOptions options;
-  Connection *connection;
+  struct ev_loop *loop;
+  GsConnection *connection;
+  ev_io ready;       /* the socket that libcurl waits for */
+  ev_timer transfer; /* libcurl's own time limits */
+  ev_timer limit;    /* the earliest limit of the exchange */
+  ev_io check_ready; /* the check whether the upstream accepts connections */
+  ev_timer check;    /* its beginning, then its limit */
+  ev_check told;     /* fed where the exchange ends as it starts */
   struct curl_slist *headers;
   GPtrArray *answer_headers; /* name, value, name, value, ... */
   size_t header_bytes;
@@ -56,6 +47,9 @@
   bool head_only;
   bool delimited; /* the answer states its length or is chunked */
   char echo[GS_EXCHANGE_ECHO_MAX + 1];
+  bool checking;
+  bool told_done;
+  int64_t late_due_us; /* when the owner is told next that there is no answer */
   GsExchangeState state;
   GsOutcome outcome;
   long status;
@@ -86,142 +80,6 @@
   return false;
 }
 
-bool
-gs_caller_left (int fd)
-{
-  char byte;
-
-  return fd >= 0 && recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
-static void
-free_connection (gpointer data)
-{
-  Connection *connection = data;
-
-  curl_easy_cleanup (connection->easy);
-  curl_multi_cleanup (connection->multi);
-  g_free (connection);
-}
-
-static void
-free_queue (gpointer data)
-{
-  g_queue_free_full (data, free_connection);
-}
-
-GsClient *
-gs_client_new (const GsClientOptions *options)
-{
-  GsClient *client = g_new0 (GsClient, 1);
-
-  g_mutex_init (&client->lock);
-  client->options = *options;
-  client->idle = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_queue);
-  return client;
-}
-
-void
-gs_client_free (GsClient *client)
-{
-  if (client == NULL)
-    return;
-  g_hash_table_destroy (client->idle);
-  g_mutex_clear (&client->lock);
-  g_free (client);
-}
-
-static int64_t
-address_key (uint32_t ipv4, uint16_t port)
-{
-  return (int64_t)ipv4 << 16 | port;
-}
-
-void
-gs_client_drop (GsClient *client, uint32_t ipv4, uint16_t port)
-{
-  int64_t key = address_key (ipv4, port);
-  GQueue *queue;
-
-  g_mutex_lock (&client->lock);
-  queue = g_hash_table_lookup (client->idle, &key);
-  if (queue != NULL)
-    g_queue_clear_full (queue, free_connection);
-  g_mutex_unlock (&client->lock);
-}
-
-static Connection *
-new_connection (void)
-{
-  Connection *connection = g_new0 (Connection, 1);
-
-  connection->easy = curl_easy_init ();
-  connection->multi = curl_multi_init ();
-  curl_multi_setopt (connection->multi, CURLMOPT_MAXCONNECTS, 1L);
-  return connection;
-}
-
-/* Bytes that nobody asked for, or the end of the connection, make it useless. */
-static bool
-is_quiet (const Connection *connection)
-{
-  char byte;
-
-  return connection->socket != CURL_SOCKET_BAD
-         && recv (connection->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
-         && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
-static Connection *
-pop_idle (GsClient *client, int64_t key)
-{
-  Connection *connection = NULL;
-  GQueue *queue;
-
-  g_mutex_lock (&client->lock);
-  queue = g_hash_table_lookup (client->idle, &key);
-  if (queue != NULL)
-    connection = g_queue_pop_head (queue);
-  g_mutex_unlock (&client->lock);
-  return connection;
-}
-
-static Connection *
-borrow (GsClient *client, int64_t key)
-{
-  Connection *connection;
-
-  while ((connection = pop_idle (client, key)) != NULL)
-    {
-      if (g_get_monotonic_time () < connection->idle_until_us && is_quiet (connection))
-        return connection;
-      free_connection (connection);
-    }
-  return new_connection ();
-}
-
-static void
-give_back (GsClient *client, int64_t key, Connection *connection)
-{
-  GQueue *queue;
-
-  g_mutex_lock (&client->lock);
-  queue = g_hash_table_lookup (client->idle, &key);
-  if (queue == NULL)
-    {
-      queue = g_queue_new ();
-      g_hash_table_insert (client->idle, g_memdup2 (&key, sizeof key), queue);
-    }
-  if (g_queue_get_length (queue) < client->options.max_idle)
-    {
-      g_queue_push_head (queue, connection);
-      connection = NULL;
-    }
-  g_mutex_unlock (&client->lock);
-  if (connection != NULL)
-    free_connection (connection);
-}
-
 /* Called once a connection stands, before each sending. A second sending is refused. */
 static int
 before_sending (void *data, char *remote, char *local, int remote_port, int local_port)
@@ -330,7 +188,7 @@
 static void
 set_behaviour (GsExchange *exchange, CURL *easy)
 {
-  uint32_t connect_ms = exchange->client->options.connect_timeout_ms;
+  uint32_t connect_ms = gs_client_options (exchange->client)->connect_timeout_ms;
 
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
@@ -348,31 +206,13 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, exchange);
 }
 
-GsExchange *
-gs_exchange_new (GsClient *client, const GsExchangeOptions *options)
-{
-  GsExchange *exchange = g_new0 (GsExchange, 1);
-
-  exchange->client = client;
-  exchange->options = *options;
-  g_strlcpy (exchange->echo, options->echo != NULL ? options->echo : "", sizeof exchange->echo);
-  exchange->answer_headers = g_ptr_array_new_with_free_func (g_free);
-  exchange->buffer = g_byte_array_new ();
-  exchange->content_length = -1;
-  exchange->connection = borrow (client, address_key (options->ipv4, options->port));
-  exchange->kept = exchange->connection->connected;
-  set_request (exchange, exchange->connection->easy);
-  set_behaviour (exchange, exchange->connection->easy);
-  return exchange;
-}
-
 /* When the server may close the idle connection; a fifth is left for the way. */
 static int64_t
 idle_until_us (const GsExchange *exchange)
 {
   const char *keep_alive = gs_exchange_header (exchange, "Keep-Alive");
   const char *timeout = keep_alive != NULL ? strstr (keep_alive, "timeout=") : NULL;
-  int64_t idle_ms = exchange->client->options.idle_ms;
+  int64_t idle_ms = gs_client_options (exchange->client)->idle_ms;
 
   if (timeout != NULL)
     idle_ms = (int64_t)g_ascii_strtoull (timeout + strlen ("timeout="), NULL, 10) * 1000;
@@ -381,30 +221,6 @@
   return g_get_monotonic_time () + idle_ms * GS_US_PER_MS * 4 / 5;
 }
 
-void
-gs_exchange_free (GsExchange *exchange)
-{
-  Connection *connection;
-
-  if (exchange == NULL)
-    return;
-  connection = exchange->connection;
-  connection->connected = exchange->whole && exchange->outcome == GS_OUTCOME_OK;
-  connection->socket = CURL_SOCKET_BAD;
-  curl_easy_getinfo (connection->easy, CURLINFO_ACTIVESOCKET, &connection->socket);
-  curl_multi_remove_handle (connection->multi, connection->easy);
-  connection->idle_until_us = idle_until_us (exchange);
-  if (connection->connected)
-    give_back (exchange->client, address_key (exchange->options.ipv4, exchange->options.port),
-               connection);
-  else
-    free_connection (connection);
-  curl_slist_free_all (exchange->headers);
-  g_ptr_array_unref (exchange->answer_headers);
-  g_byte_array_unref (exchange->buffer);
-  g_free (exchange);
-}
-
 static bool
 has_no_body (const GsExchange *exchange)
 {
@@ -421,26 +237,6 @@
   return named == NULL || exchange->echo[0] == '\0' || strcmp (named, exchange->echo) == 0;
 }
 
-/* A lost connection alone is the connection's; a server that accepts none any more has crashed. */
-static bool
-accepts_connections (const GsExchangeOptions *options)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (options->port),
-                                 .sin_addr.s_addr = htonl (options->ipv4) };
-  struct timeval patience = { .tv_usec = EXCHANGE_CHECK_CONNECT_US };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  bool accepts;
-
-  if (fd < 0)
-    return true;
-  g_usleep (EXCHANGE_CHECK_DELAY_US);
-  setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &patience, sizeof patience);
-  accepts = connect (fd, (struct sockaddr *)&address, sizeof address) == 0;
-  close (fd);
-  return accepts;
-}
-
 static GsOutcome
 failure_outcome (const GsExchange *exchange)
 {
@@ -448,16 +244,15 @@
     return GS_OUTCOME_UNREACHABLE;
   if (exchange->first_byte_us != 0)
     return GS_OUTCOME_TRUNCATED;
-  if (exchange->client->options.trust_losses)
-    return GS_OUTCOME_CLOSED;
-  return accepts_connections (&exchange->options) ? GS_OUTCOME_CLOSED : GS_OUTCOME_CRASHED;
+  return GS_OUTCOME_CLOSED;
 }
 
 /* Whether the end of the connection may end the answer, or something before it did. */
 static bool
 is_framed (const GsExchange *exchange)
 {
-  return exchange->delimited || has_no_body (exchange) || exchange->client->options.unframed;
+  return exchange->delimited || has_no_body (exchange)
+         || gs_client_options (exchange->client)->unframed;
 }
 
 static void
@@ -476,32 +271,79 @@
     exchange->whole = true;
   else
     exchange->outcome = result == CURLE_OK ? GS_OUTCOME_TRUNCATED : failure_outcome (exchange);
+  if (exchange->outcome != GS_OUTCOME_CLOSED || gs_client_options (exchange->client)->trust_losses)
+    return;
+  exchange->checking = true;
+  ev_timer_start (exchange->loop, &exchange->check);
+}
+
+static void
+fail (GsExchange *exchange, GsOutcome outcome)
+{
+  exchange->finished = true;
+  exchange->outcome = outcome;
+}
+
+static void
+stop_transfer (GsExchange *exchange)
+{
+  ev_io_stop (exchange->loop, &exchange->ready);
+  ev_timer_stop (exchange->loop, &exchange->transfer);
+  ev_timer_stop (exchange->loop, &exchange->limit);
+}
+
+/* The buffer is full before the answer is whole: its owner reads on from here. */
+static void
+begin_large (GsExchange *exchange)
+{
+  curl_easy_getinfo (exchange->connection->easy, CURLINFO_RESPONSE_CODE, &exchange->status);
+  exchange->state = GS_EXCHANGE_LARGE;
+  if (is_framed (exchange) && is_own_answer (exchange))
+    return;
+  fail (exchange, GS_OUTCOME_TRUNCATED);
+  exchange->state = GS_EXCHANGE_FAILED;
+  stop_transfer (exchange);
 }
 
+/* Tells the owner what has changed; it may free the exchange. */
 static void
-perform (GsExchange *exchange)
+tell (GsExchange *exchange)
+{
+  if (exchange->checking || (!exchange->finished && !exchange->paused && !exchange->told_done))
+    return;
+  if (exchange->told_done)
+    {
+      if (exchange->state == GS_EXCHANGE_LARGE
+          && (exchange->finished || exchange->buffer->len > exchange->buffer_read))
+        exchange->options.class->readable (exchange->options.data);
+      return;
+    }
+  exchange->told_done = true;
+  if (exchange->finished)
+    exchange->state = exchange->whole ? GS_EXCHANGE_WHOLE : GS_EXCHANGE_FAILED;
+  else
+    begin_large (exchange);
+  exchange->options.body = NULL;
+  exchange->options.class->done (exchange->options.data);
+}
+
+/* Lets libcurl go on. */
+static void
+perform (GsExchange *exchange, curl_socket_t socket, int events)
 {
   int running = 0;
   int left = 0;
   CURLMsg *message;
 
-  curl_multi_perform (exchange->connection->multi, &running);
+  curl_multi_socket_action (exchange->connection->multi, socket, events, &running);
   while ((message = curl_multi_info_read (exchange->connection->multi, &left)) != NULL)
     if (message->msg == CURLMSG_DONE)
       take_result (exchange, message->data.result);
 }
 
-static void
-fail (GsExchange *exchange, GsOutcome outcome)
-{
-  exchange->finished = true;
-  exchange->outcome = outcome;
-}
-
-static void
-check_time (GsExchange *exchange)
+static bool
+check_time (GsExchange *exchange, int64_t now_us)
 {
-  int64_t now_us = g_get_monotonic_time ();
   int64_t quiet_us = now_us - MAX (exchange->progress_us, exchange->first_byte_us);
 
   if (exchange->options.deadline_us != 0 && now_us >= exchange->options.deadline_us
@@ -510,7 +352,7 @@
   else if (exchange->first_byte_us == 0)
     {
       if (now_us - exchange->started_us < exchange->options.timeout_us)
-        return;
+        return false;
       if (!exchange->sent)
         fail (exchange, GS_OUTCOME_UNREACHABLE);
       else
@@ -518,82 +360,288 @@
     }
   else if (quiet_us >= exchange->options.timeout_us && !exchange->paused)
     fail (exchange, GS_OUTCOME_TRUNCATED);
+  return exchange->finished;
 }
 
-static bool
-is_late (const GsExchange *exchange, int64_t now_us)
+/* Sets the timer for the limit that comes first. */
+static void
+arm_limit (GsExchange *exchange, int64_t now_us)
 {
-  return exchange->options.late_us != 0 && exchange->first_byte_us == 0
-         && now_us - exchange->started_us >= exchange->options.late_us;
+  int64_t due_us = exchange->options.timeout_us + exchange->started_us;
+
+  if (exchange->first_byte_us != 0)
+    due_us = exchange->options.timeout_us
+             + (exchange->paused ? now_us : MAX (exchange->progress_us, exchange->first_byte_us));
+  else if (exchange->late_due_us != 0)
+    due_us = MIN (due_us, exchange->late_due_us);
+  if (exchange->options.deadline_us != 0 && exchange->sent)
+    due_us = MIN (due_us, exchange->options.deadline_us);
+  else if (exchange->options.deadline_us > now_us)
+    due_us = MIN (due_us, exchange->options.deadline_us);
+  ev_timer_stop (exchange->loop, &exchange->limit);
+  ev_timer_set (&exchange->limit,
+                (double)MAX (due_us - now_us, EXCHANGE_LIMIT_MIN_US) / GS_US_PER_S, 0.);
+  ev_timer_start (exchange->loop, &exchange->limit);
 }
 
-/* Longest sleep that misses no time limit. */
-static int
-poll_ms (const GsExchange *exchange)
+static void
+on_limit (struct ev_loop *loop, ev_timer *watcher, int events)
 {
+  GsExchange *exchange = watcher->data;
   int64_t now_us = g_get_monotonic_time ();
-  int64_t left_us = exchange->options.timeout_us;
+  bool late = exchange->late_due_us != 0 && now_us >= exchange->late_due_us
+              && exchange->first_byte_us == 0;
 
-  if (exchange->first_byte_us == 0)
-    left_us = exchange->started_us + exchange->options.timeout_us - now_us;
-  if (exchange->options.late_us != 0 && exchange->first_byte_us == 0)
-    left_us = is_late (exchange, now_us)
-                  ? EXCHANGE_LATE_POLL_MS * GS_US_PER_MS
-                  : MIN (left_us, exchange->started_us + exchange->options.late_us - now_us);
-  if (exchange->options.deadline_us != 0)
-    left_us = MIN (left_us, exchange->options.deadline_us - now_us);
-  return (int)CLAMP (left_us / GS_US_PER_MS + 1, 1, EXCHANGE_POLL_MS);
+  (void)loop;
+  (void)events;
+  if (exchange->finished)
+    return;
+  if (check_time (exchange, now_us))
+    {
+      stop_transfer (exchange);
+      tell (exchange);
+      return;
+    }
+  if (late)
+    exchange->late_due_us = now_us + exchange->options.late_again_us;
+  arm_limit (exchange, now_us);
+  if (late)
+    exchange->options.class->late (exchange->options.data);
+}
+
+static void
+go_on (GsExchange *exchange, curl_socket_t socket, int events)
+{
+  if (exchange->finished)
+    return;
+  perform (exchange, socket, events);
+  if (exchange->finished)
+    stop_transfer (exchange);
+  tell (exchange);
+}
+
+static void
+on_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  go_on (watcher->data, watcher->fd,
+         ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
+             | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0));
+}
+
+static void
+on_transfer_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  go_on (watcher->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+/* libcurl says for what it waits at its socket. */
+static int
+watch_socket (CURL *easy, curl_socket_t socket, int what, void *data, void *socket_data)
+{
+  GsExchange *exchange = data;
+  int events
+      = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+
+  (void)easy;
+  (void)socket_data;
+  if (what == CURL_POLL_REMOVE && exchange->ready.fd != socket)
+    return 0;
+  ev_io_stop (exchange->loop, &exchange->ready);
+  if (what == CURL_POLL_REMOVE || events == 0)
+    return 0;
+  ev_io_set (&exchange->ready, socket, events);
+  ev_io_start (exchange->loop, &exchange->ready);
+  return 0;
+}
+
+static int
+set_transfer_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  GsExchange *exchange = data;
+
+  (void)multi;
+  ev_timer_stop (exchange->loop, &exchange->transfer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&exchange->transfer, (double)timeout_ms / 1000, 0.);
+  ev_timer_start (exchange->loop, &exchange->transfer);
+  return 0;
+}
+
+/* A lost connection alone is the connection's; a server that accepts none any more has crashed. */
+static void
+end_check (GsExchange *exchange, bool accepts)
+{
+  ev_timer_stop (exchange->loop, &exchange->check);
+  ev_io_stop (exchange->loop, &exchange->check_ready);
+  if (exchange->check_ready.fd >= 0)
+    close (exchange->check_ready.fd);
+  exchange->check_ready.fd = -1;
+  exchange->checking = false;
+  exchange->outcome = accepts ? GS_OUTCOME_CLOSED : GS_OUTCOME_CRASHED;
+}
+
+static void
+on_check_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  GsExchange *exchange = watcher->data;
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  (void)loop;
+  (void)events;
+  end_check (exchange,
+             getsockopt (watcher->fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0);
+  tell (exchange);
 }
 
-/* Waits for progress at the upstream or the end of the caller, then performs. */
 static void
-step (GsExchange *exchange)
+on_check_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
-  struct curl_waitfd caller = { .fd = exchange->options.caller_fd, .events = CURL_WAIT_POLLIN };
-  bool watch = exchange->options.caller_fd >= 0;
+  GsExchange *exchange = watcher->data;
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (exchange->options.port),
+                                 .sin_addr.s_addr = htonl (exchange->options.ipv4) };
+  int fd;
 
-  curl_multi_poll (exchange->connection->multi, watch ? &caller : NULL, watch ? 1 : 0,
-                   poll_ms (exchange), NULL);
-  if (watch && caller.revents != 0)
+  (void)events;
+  if (ev_is_active (&exchange->check_ready))
+    {
+      end_check (exchange, false);
+      tell (exchange);
+      return;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  ev_io_set (&exchange->check_ready, fd, EV_WRITE);
+  if (fd < 0
+      || (connect (fd, (struct sockaddr *)&address, sizeof address) != 0 && errno != EINPROGRESS))
     {
-      if (gs_caller_left (exchange->options.caller_fd))
-        {
-          fail (exchange, GS_OUTCOME_CANCELLED);
-          return;
-        }
-      exchange->options.caller_fd = -1; /* its next request has come early; stop watching */
+      end_check (exchange, fd < 0);
+      tell (exchange);
+      return;
     }
-  perform (exchange);
-  if (!exchange->finished)
-    check_time (exchange);
-  if (!exchange->finished && is_late (exchange, g_get_monotonic_time ())
-      && exchange->options.late (exchange->options.late_data))
-    fail (exchange, exchange->sent ? GS_OUTCOME_TIMEOUT : GS_OUTCOME_UNREACHABLE);
+  ev_io_start (loop, &exchange->check_ready);
+  ev_timer_set (&exchange->check, EXCHANGE_CHECK_CONNECT_S, 0.);
+  ev_timer_start (loop, &exchange->check);
 }
 
-void
-gs_exchange_run (GsExchange *exchange)
+static void
+on_told (struct ev_loop *loop, ev_check *watcher, int events)
 {
+  (void)loop;
+  (void)events;
+  tell (watcher->data);
+}
+
+static void
+set_watchers (GsExchange *exchange)
+{
+  CURLM *multi = exchange->connection->multi;
+
+  ev_io_init (&exchange->ready, on_ready, -1, EV_READ);
+  ev_timer_init (&exchange->transfer, on_transfer_timer, 0., 0.);
+  ev_timer_init (&exchange->limit, on_limit, 0., 0.);
+  ev_io_init (&exchange->check_ready, on_check_ready, -1, EV_WRITE);
+  ev_timer_init (&exchange->check, on_check_timer, EXCHANGE_CHECK_DELAY_S, 0.);
+  ev_init (&exchange->told, on_told);
+  exchange->told.data = exchange;
+  exchange->ready.data = exchange;
+  exchange->transfer.data = exchange;
+  exchange->limit.data = exchange;
+  exchange->check_ready.data = exchange;
+  exchange->check.data = exchange;
+  curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, exchange);
+  curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, set_transfer_timer);
+  curl_multi_setopt (multi, CURLMOPT_TIMERDATA, exchange);
+}
+
+GsExchange *
+gs_exchange_new (GsClient *client, const GsExchangeOptions *options)
+{
+  GsExchange *exchange = g_new0 (GsExchange, 1);
+
+  exchange->client = client;
+  exchange->loop = gs_client_options (client)->loop;
+  exchange->options = *options;
+  g_strlcpy (exchange->echo, options->echo != NULL ? options->echo : "", sizeof exchange->echo);
+  exchange->answer_headers = g_ptr_array_new_with_free_func (g_free);
+  exchange->buffer = g_byte_array_new ();
+  exchange->content_length = -1;
+  exchange->connection = gs_client_borrow (client, options->ipv4, options->port);
+  exchange->kept = exchange->connection->connected;
+  set_request (exchange, exchange->connection->easy);
+  set_behaviour (exchange, exchange->connection->easy);
+  set_watchers (exchange);
+  exchange->options.headers = NULL;
+  exchange->options.method = NULL;
+  exchange->options.target = NULL;
   exchange->options.echo = NULL;
+  return exchange;
+}
+
+void
+gs_exchange_start (GsExchange *exchange)
+{
   exchange->started_us = g_get_monotonic_time ();
+  if (exchange->options.late_us != 0)
+    exchange->late_due_us = exchange->started_us + exchange->options.late_us;
   curl_multi_add_handle (exchange->connection->multi, exchange->connection->easy);
-  perform (exchange);
-  while (!exchange->finished && !exchange->paused)
-    step (exchange);
-  exchange->options.headers = NULL;
-  exchange->options.body = NULL;
+  perform (exchange, CURL_SOCKET_TIMEOUT, 0);
+  arm_limit (exchange, exchange->started_us);
   if (exchange->finished)
-    exchange->state = exchange->whole ? GS_EXCHANGE_WHOLE : GS_EXCHANGE_FAILED;
-  else
-    {
-      curl_easy_getinfo (exchange->connection->easy, CURLINFO_RESPONSE_CODE, &exchange->status);
-      exchange->state = GS_EXCHANGE_LARGE;
-      if (!is_framed (exchange) || !is_own_answer (exchange))
-        {
-          fail (exchange, GS_OUTCOME_TRUNCATED);
-          exchange->state = GS_EXCHANGE_FAILED;
-        }
-    }
+    ev_feed_event (exchange->loop, &exchange->told, EV_CUSTOM);
+}
+
+void
+gs_exchange_cancel (GsExchange *exchange, GsOutcome outcome)
+{
+  fail (exchange, outcome);
+  exchange->state = GS_EXCHANGE_FAILED;
+  exchange->told_done = true;
+  stop_transfer (exchange);
+}
+
+bool
+gs_exchange_sent (const GsExchange *exchange)
+{
+  return exchange->sent;
+}
+
+/* Takes the handle out of its connection, which may then be kept. */
+static void
+release_connection (GsExchange *exchange)
+{
+  GsConnection *connection = exchange->connection;
+
+  connection->connected = exchange->whole && exchange->outcome == GS_OUTCOME_OK;
+  connection->socket = CURL_SOCKET_BAD;
+  curl_easy_getinfo (connection->easy, CURLINFO_ACTIVESOCKET, &connection->socket);
+  curl_multi_remove_handle (connection->multi, connection->easy);
+  curl_multi_setopt (connection->multi, CURLMOPT_SOCKETFUNCTION, NULL);
+  curl_multi_setopt (connection->multi, CURLMOPT_TIMERFUNCTION, NULL);
+  connection->idle_until_us = idle_until_us (exchange);
+  gs_client_give_back (exchange->client, exchange->options.ipv4, exchange->options.port,
+                       connection);
+}
+
+void
+gs_exchange_free (GsExchange *exchange)
+{
+  if (exchange == NULL)
+    return;
+  if (exchange->checking)
+    end_check (exchange, true);
+  release_connection (exchange);
+  stop_transfer (exchange);
+  ev_clear_pending (exchange->loop, &exchange->told);
+  curl_slist_free_all (exchange->headers);
+  g_ptr_array_unref (exchange->answer_headers);
+  g_byte_array_unref (exchange->buffer);
+  g_free (exchange);
 }
 
 ssize_t
@@ -601,20 +649,20 @@
 {
   size_t held = exchange->buffer->len - exchange->buffer_read;
 
-  while (held == 0 && !exchange->finished)
+  if (held == 0 && exchange->paused)
     {
       exchange->buffer_read = 0;
       g_byte_array_set_size (exchange->buffer, 0);
       exchange->paused = false;
       exchange->progress_us = g_get_monotonic_time ();
       curl_easy_pause (exchange->connection->easy, CURLPAUSE_CONT);
-      perform (exchange);
-      while (!exchange->finished && exchange->buffer->len == 0)
-        step (exchange);
+      arm_limit (exchange, exchange->progress_us);
       held = exchange->buffer->len;
     }
+  if (held == 0 && !exchange->finished)
+    return GS_EXCHANGE_READ_LATER;
   if (held == 0)
-    return exchange->whole ? 0 : -1;
+    return exchange->whole ? GS_EXCHANGE_READ_END : GS_EXCHANGE_READ_BROKEN;
   held = MIN (held, max);
   memcpy (out, exchange->buffer->data + exchange->buffer_read, held);
   exchange->buffer_read += held;
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -4,7 +4,8 @@
  *
  * SYNOPSIS
  *   GsExchange *exchange = gs_exchange_new (client, &options);
- *   gs_exchange_run (exchange);
+ *   gs_exchange_start (exchange);
+ *   ...                              the loop calls options.class->done
  *   if (gs_exchange_state (exchange) == GS_EXCHANGE_WHOLE) ...
  *   gs_exchange_free (exchange);
  *
@@ -23,6 +24,7 @@
 #include <sys/types.h>
 
 #include "../core/base.h"
+#include "client.h"
 
 enum
 {
@@ -30,25 +32,20 @@
   GS_EXCHANGE_ECHO_MAX = 64,              /**< bytes of a value that the answer must echo */
 };
 
-typedef struct GsClient GsClient;
 typedef struct GsExchange GsExchange;
 
+/** What an exchange tells its owner, from the loop; each may free the exchange. */
 typedef struct
 {
-  uint32_t max_idle;           /**< kept connections to one upstream */
-  uint32_t connect_timeout_ms; /**< 0: 1000 */
-  uint32_t idle_ms;            /**< life of an idle connection whose server states none; 0: any */
-  bool unframed;               /**< an answer without a length ends with its connection */
-  bool trust_losses;           /**< a lost connection is not examined for a crash */
-} GsClientOptions;
-
-GsClient *gs_client_new (const GsClientOptions *options);
-void gs_client_free (GsClient *client);
-
-/** Closes the kept connections to an upstream. Thread-safe. */
-void gs_client_drop (GsClient *client, uint32_t ipv4, uint16_t port);
-
-/** Request of an exchange. Pointers must live until gs_exchange_run returns. */
+  /** It has reached a state other than GS_EXCHANGE_RUNNING. */
+  void (*done) (void *data);
+  /** A large answer has more to read, or has ended. */
+  void (*readable) (void *data);
+  /** There is no answer yet after late_us, and again after each late_again_us. */
+  void (*late) (void *data);
+} GsExchangeClass;
+
+/** Request of an exchange. The body must live until it is done; the rest is copied. */
 typedef struct
 {
   uint32_t ipv4; /**< host byte order */
@@ -58,21 +55,22 @@
   GPtrArray *headers; /**< "Name: value" */
   const void *body;
   size_t body_length;
-  int64_t timeout_us;        /**< to the first byte of the answer, and between later ones */
-  int caller_fd;             /**< socket of the caller, watched for its end; -1: none */
-  int64_t deadline_us;       /**< monotonic time at which it ends in any case; 0: none */
-  const char *echo_header;   /**< header of an answer that names its request; NULL: none */
-  const char *echo;          /**< an answer that names another than this is refused */
-  int64_t late_us;           /**< without an answer for so long LATE is called, and on; 0: never */
-  bool (*late) (void *data); /**< RETURN VALUE: true when the exchange is to be given up */
-  void *late_data;
+  int64_t timeout_us;      /**< to the first byte of the answer, and between later ones */
+  int64_t deadline_us;     /**< monotonic time at which it ends in any case; 0: none */
+  const char *echo_header; /**< static header of an answer that names its request; NULL: none */
+  const char *echo;        /**< an answer that names another than this is refused */
+  int64_t late_us;         /**< without an answer for so long it is late; 0: never */
+  int64_t late_again_us;
+  const GsExchangeClass *class;
+  void *data; /**< of the class's functions */
 } GsExchangeOptions;
 
 typedef enum
 {
-  GS_EXCHANGE_WHOLE = 0, /**< the whole answer is in memory */
-  GS_EXCHANGE_LARGE,     /**< the answer has begun and is read with gs_exchange_read */
-  GS_EXCHANGE_FAILED,    /**< see gs_exchange_outcome */
+  GS_EXCHANGE_RUNNING = 0,
+  GS_EXCHANGE_WHOLE,  /**< the whole answer is in memory */
+  GS_EXCHANGE_LARGE,  /**< the answer has begun and is read with gs_exchange_read */
+  GS_EXCHANGE_FAILED, /**< see gs_exchange_outcome */
 } GsExchangeState;
 
 GsExchange *gs_exchange_new (GsClient *client, const GsExchangeOptions *options);
@@ -80,8 +78,14 @@
 /** Returns the connection to the client where it may be used again. */
 void gs_exchange_free (GsExchange *exchange);
 
-/** Sends the request and receives until the answer is whole, large, or has failed. */
-void gs_exchange_run (GsExchange *exchange);
+/** Sends the request; the loop receives until the answer is whole, large, or has failed. */
+void gs_exchange_start (GsExchange *exchange);
+
+/** Gives the exchange up with OUTCOME. Nothing is called any more. */
+void gs_exchange_cancel (GsExchange *exchange, GsOutcome outcome);
+
+/** RETURN VALUE: true when bytes of the request may have left. */
+bool gs_exchange_sent (const GsExchange *exchange);
 
 GsExchangeState gs_exchange_state (const GsExchange *exchange);
 
@@ -108,14 +112,18 @@
 /** RETURN VALUE: length that a large answer states, or -1. */
 int64_t gs_exchange_length (const GsExchange *exchange);
 
-/** Reads on in a large answer. RETURN VALUE: bytes read; 0 at its whole end; -1 when it is not
- * whole. */
+/** What gs_exchange_read returns where nothing can be read. */
+enum
+{
+  GS_EXCHANGE_READ_END = 0,     /**< the answer was whole */
+  GS_EXCHANGE_READ_BROKEN = -1, /**< it is not whole */
+  GS_EXCHANGE_READ_LATER = -2,  /**< `readable` is called when there is more */
+};
+
+/** Reads on in a large answer. RETURN VALUE: bytes read, or one of the above. */
 ssize_t gs_exchange_read (GsExchange *exchange, char *out, size_t max);
 
 /** RETURN VALUE: true when NAME is a header between two neighbours only. */
 bool gs_header_is_hop (const char *name);
 
-/** RETURN VALUE: true when the caller behind FD has closed its connection. */
-bool gs_caller_left (int fd);
-
 #endif
--- /dev/null
+++ b/src/gentian/http/server.c
@@ -0,0 +1,133 @@
+#include "server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+
+enum
+{
+  SERVER_BACKLOG = 1024,
+  SERVER_MEMORY_BYTES = 32 * 1024, /* of a connection, for its headers */
+  SERVER_ROUNDS = 8,               /* before the loop's other events get their turn */
+};
+
+/** Period at which connections are looked through for those that have been idle for too long. */
+#define SERVER_IDLE_CHECK_S 5.0
+
+struct GsServer
+{
+  struct ev_loop *loop;
+  struct MHD_Daemon *daemon;
+  ev_io ready;
+  ev_timer idle_check;
+};
+
+static void
+run (GsServer *server)
+{
+  MHD_UNSIGNED_LONG_LONG left_ms = 1;
+
+  for (int i = 0; i < SERVER_ROUNDS; i++)
+    {
+      MHD_run (server->daemon);
+      if (MHD_get_timeout (server->daemon, &left_ms) != MHD_YES || left_ms > 0)
+        return;
+    }
+  ev_timer_stop (server->loop, &server->idle_check);
+  ev_timer_set (&server->idle_check, 0., SERVER_IDLE_CHECK_S);
+  ev_timer_start (server->loop, &server->idle_check);
+}
+
+static void
+on_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run (watcher->data);
+}
+
+static void
+on_idle_check (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  run (watcher->data);
+}
+
+static bool
+start (GsServer *server, const GsServerOptions *options)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (options->port),
+                                 .sin_addr.s_addr = htonl (options->ipv4) };
+  const GsServerClass *class = options->class;
+  struct MHD_OptionItem items[] = {
+    { MHD_OPTION_SOCK_ADDR, 0, &address },
+    { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)options->max_connections, NULL },
+    { MHD_OPTION_CONNECTION_MEMORY_LIMIT, SERVER_MEMORY_BYTES, NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t)options->idle_s, NULL },
+    { MHD_OPTION_LISTEN_BACKLOG_SIZE, SERVER_BACKLOG, NULL },
+    { class->completed != NULL ? MHD_OPTION_NOTIFY_COMPLETED : MHD_OPTION_END,
+      (intptr_t) class->completed, options->data },
+    { class->begun != NULL ? MHD_OPTION_URI_LOG_CALLBACK : MHD_OPTION_END, (intptr_t) class->begun,
+      options->data },
+    { MHD_OPTION_END, 0, NULL },
+  };
+
+  server->daemon
+      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options->port, NULL, NULL,
+                          class->handle, options->data, MHD_OPTION_ARRAY, items, MHD_OPTION_END);
+  return server->daemon != NULL;
+}
+
+GsServer *
+gs_server_new (const GsServerOptions *options, GError **error)
+{
+  GsServer *server = g_new0 (GsServer, 1);
+  const union MHD_DaemonInfo *info;
+
+  server->loop = options->loop;
+  if (!start (server, options))
+    {
+      g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "cannot listen at port %u",
+                   options->port);
+      g_free (server);
+      return NULL;
+    }
+  info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  ev_io_init (&server->ready, on_ready, info->epoll_fd, EV_READ);
+  ev_timer_init (&server->idle_check, on_idle_check, SERVER_IDLE_CHECK_S, SERVER_IDLE_CHECK_S);
+  server->ready.data = server;
+  server->idle_check.data = server;
+  ev_io_start (server->loop, &server->ready);
+  ev_timer_start (server->loop, &server->idle_check);
+  return server;
+}
+
+void
+gs_server_kick (GsServer *server)
+{
+  ev_feed_event (server->loop, &server->ready, EV_READ);
+}
+
+void
+gs_server_quiesce (GsServer *server)
+{
+  MHD_socket listener = MHD_quiesce_daemon (server->daemon);
+
+  if (listener != MHD_INVALID_SOCKET)
+    shutdown (listener, SHUT_RDWR);
+}
+
+void
+gs_server_free (GsServer *server)
+{
+  if (server == NULL)
+    return;
+  MHD_run (server->daemon); /* connections that were resumed take part in the end */
+  ev_io_stop (server->loop, &server->ready);
+  ev_timer_stop (server->loop, &server->idle_check);
+  MHD_stop_daemon (server->daemon);
+  g_free (server);
+}
--- a/src/gentian/peer/peer.c
+++ b/src/gentian/peer/peer.c
@@ -1,9 +1,6 @@
 #include "peer.h"
 
-#include <errno.h>
 #include <string.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include <zmq.h>
 
 #include "../log/counter.h"
@@ -11,18 +8,19 @@
 enum
 {
   PEER_HIGH_WATER = 64, /* messages that wait for one daemon */
-  PEER_HEARTBEAT_MS = 1000,
-  PEER_HEARTBEAT_TIMEOUT_MS = 3000,
+  /* A connection whose bytes are not acknowledged for so long has gone silent. */
+  PEER_SILENT_MS = 2000,
+  PEER_KEEPALIVE_S = 10,
   /* A packet to a machine without power is lost, and TCP sends it again only after a second. */
   PEER_CONNECT_TIMEOUT_MS = 150,
   PEER_RECONNECT_MS = 50,
   PEER_RECONNECT_MAX_MS = 1000,
-  PEER_POLL_MS = 1000,
   PEER_MESSAGE_BYTES_MAX = 256 * 1024 * 1024,
   PEER_ZAP_FRAMES_MAX = 16,
 };
 
 #define PEER_IDLE_US (60 * G_USEC_PER_SEC)
+#define PEER_SWEEP_S 10.0
 
 typedef struct
 {
@@ -44,9 +42,11 @@
   void *incoming;
   GHashTable *links; /* address as integer -> Link */
   GAsyncQueue *queue;
-  GThread *thread;
-  int wake_fd;
-  gint stopping;
+  GThread *owner; /* runs the loop */
+  ev_io incoming_ready;
+  ev_io zap_ready;
+  ev_async queued;
+  ev_timer sweep;
   char public_key_z85[41];
 };
 
@@ -82,8 +82,9 @@
   set_int (socket, ZMQ_CONNECT_TIMEOUT, PEER_CONNECT_TIMEOUT_MS);
   set_int (socket, ZMQ_RECONNECT_IVL, PEER_RECONNECT_MS);
   set_int (socket, ZMQ_RECONNECT_IVL_MAX, PEER_RECONNECT_MAX_MS);
-  set_int (socket, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
-  set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, PEER_HEARTBEAT_TIMEOUT_MS);
+  set_int (socket, ZMQ_TCP_MAXRT, PEER_SILENT_MS);
+  set_int (socket, ZMQ_TCP_KEEPALIVE, 1);
+  set_int (socket, ZMQ_TCP_KEEPALIVE_IDLE, PEER_KEEPALIVE_S);
 }
 
 /* Without keys the network between the daemons is trusted. */
@@ -136,11 +137,8 @@
 static void
 send_queued (GsPeer *peer)
 {
-  uint64_t count;
   Outgoing *outgoing;
 
-  if (read (peer->wake_fd, &count, sizeof count) < 0 && errno != EAGAIN)
-    return;
   while ((outgoing = g_async_queue_try_pop (peer->queue)) != NULL)
     {
       send_one (peer, outgoing);
@@ -217,29 +215,85 @@
   zmq_send (peer->zap, "", 0, 0);
 }
 
-static gpointer
-run (gpointer data)
+static void
+on_incoming (struct ev_loop *loop, ev_io *watcher, int events)
 {
-  GsPeer *peer = data;
-  zmq_pollitem_t items[] = { { .socket = peer->incoming, .events = ZMQ_POLLIN },
-                             { .socket = peer->zap, .events = ZMQ_POLLIN },
-                             { .fd = peer->wake_fd, .events = ZMQ_POLLIN } };
+  (void)loop;
+  (void)events;
+  receive_all (watcher->data);
+}
 
-  while (!g_atomic_int_get (&peer->stopping))
-    {
-      int64_t now_us;
-      zmq_poll (items, G_N_ELEMENTS (items), PEER_POLL_MS);
-      if (items[1].revents & ZMQ_POLLIN)
-        answer_zap (peer);
-      if (items[2].revents & ZMQ_POLLIN)
-        send_queued (peer);
-      if (items[0].revents & ZMQ_POLLIN)
-        receive_all (peer);
-      now_us = g_get_monotonic_time ();
-      g_hash_table_foreach_remove (peer->links, is_idle, &now_us);
-    }
-  send_queued (peer);
-  return NULL;
+static void
+on_zap (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  GsPeer *peer = watcher->data;
+  int ready = 0;
+  size_t size = sizeof ready;
+
+  (void)loop;
+  (void)events;
+  while (zmq_getsockopt (peer->zap, ZMQ_EVENTS, &ready, &size) == 0 && (ready & ZMQ_POLLIN) != 0)
+    answer_zap (peer);
+}
+
+static void
+on_queued (struct ev_loop *loop, ev_async *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  send_queued (watcher->data);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  GsPeer *peer = watcher->data;
+  int64_t now_us = g_get_monotonic_time ();
+
+  (void)loop;
+  (void)events;
+  g_hash_table_foreach_remove (peer->links, is_idle, &now_us);
+}
+
+/* The descriptor of a ZeroMQ socket tells only changes: what is there already is handled at once.
+ */
+static void
+watch (GsPeer *peer, void *socket, ev_io *watcher, void (*ready) (struct ev_loop *, ev_io *, int))
+{
+  int fd = -1;
+  size_t size = sizeof fd;
+
+  zmq_getsockopt (socket, ZMQ_FD, &fd, &size);
+  ev_io_init (watcher, ready, fd, EV_READ);
+  watcher->data = peer;
+  ev_io_start (peer->options.loop, watcher);
+  ev_feed_event (peer->options.loop, watcher, EV_READ);
+}
+
+static void
+start_watching (GsPeer *peer)
+{
+  struct ev_loop *loop = peer->options.loop;
+
+  watch (peer, peer->incoming, &peer->incoming_ready, on_incoming);
+  watch (peer, peer->zap, &peer->zap_ready, on_zap);
+  ev_async_init (&peer->queued, on_queued);
+  ev_timer_init (&peer->sweep, on_sweep, PEER_SWEEP_S, PEER_SWEEP_S);
+  peer->queued.data = peer;
+  peer->sweep.data = peer;
+  ev_async_start (loop, &peer->queued);
+  ev_timer_start (loop, &peer->sweep);
+}
+
+static void
+stop_watching (GsPeer *peer)
+{
+  struct ev_loop *loop = peer->options.loop;
+
+  ev_io_stop (loop, &peer->incoming_ready);
+  ev_io_stop (loop, &peer->zap_ready);
+  ev_async_stop (loop, &peer->queued);
+  ev_timer_stop (loop, &peer->sweep);
 }
 
 static gboolean
@@ -281,40 +335,28 @@
   peer->context = zmq_ctx_new ();
   peer->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_link);
   peer->queue = g_async_queue_new_full (free_outgoing);
-  peer->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  peer->owner = g_thread_self ();
   if (!bind_sockets (peer, error))
     {
       gs_peer_free (peer);
       return NULL;
     }
-  peer->thread = g_thread_new ("peer", run, peer);
+  start_watching (peer);
   return peer;
 }
 
-static void
-wake (GsPeer *peer)
-{
-  uint64_t one = 1;
-
-  if (write (peer->wake_fd, &one, sizeof one) < 0)
-    return; /* the counter is full, so the thread is awake */
-}
-
 void
 gs_peer_free (GsPeer *peer)
 {
   if (peer == NULL)
     return;
-  g_atomic_int_set (&peer->stopping, 1);
-  wake (peer);
-  if (peer->thread != NULL)
-    g_thread_join (peer->thread);
+  stop_watching (peer);
+  send_queued (peer);
   g_hash_table_destroy (peer->links);
   zmq_close (peer->incoming);
   zmq_close (peer->zap);
   zmq_ctx_term (peer->context);
   g_async_queue_unref (peer->queue);
-  close (peer->wake_fd);
   g_free (peer);
 }
 
@@ -326,5 +368,8 @@
   outgoing->to = *to;
   outgoing->bytes = bytes;
   g_async_queue_push (peer->queue, outgoing);
-  wake (peer);
+  if (g_thread_self () == peer->owner)
+    ev_feed_event (peer->options.loop, &peer->queued, EV_ASYNC);
+  else
+    ev_async_send (peer->options.loop, &peer->queued);
 }
--- a/src/gentian/peer/peer.h
+++ b/src/gentian/peer/peer.h
@@ -3,24 +3,26 @@
  *   peer - ZeroMQ sockets between daemons
  *
  * DESCRIPTION
- *   One thread owns all sockets: a PULL socket for what comes in, and a PUSH socket for each daemon
- * that was spoken to lately. Where keys are set, CURVE encrypts both ways, and a ZAP handler lets
- * in only holders of the fleet's key. A message that cannot be sent at once is dropped; the
+ *   An event loop watches the sockets: a PULL socket for what comes in, and a PUSH socket for each
+ * daemon that was spoken to lately. Where keys are set, CURVE encrypts both ways, and a ZAP handler
+ * lets in only holders of the fleet's key. A message that cannot be sent at once is dropped; the
  * protocols above expect losses.
  */
 #ifndef GS_PEER_H
 #define GS_PEER_H
 
+#include <ev.h>
 #include <glib.h>
 
 #include "../core/member.h"
 
-/** Takes a message in, on the peer thread. */
+/** Takes a message in, on the loop's thread. */
 typedef void (*GsPeerSink) (const char *bytes, size_t length, void *data);
 
 typedef struct
 {
-  uint32_t ipv4; /**< host byte order */
+  struct ev_loop *loop; /**< run by the thread that makes the peer */
+  uint32_t ipv4;        /**< host byte order */
   uint16_t port;
   const char *public_key; /**< Z85; empty: no encryption */
   const char *secret_key; /**< Z85 */
@@ -33,7 +35,7 @@
 /** RETURN VALUE: a started peer, or NULL with ERROR when the port or the keys do not work. */
 GsPeer *gs_peer_new (const GsPeerOptions *options, GError **error);
 
-/** Stops the thread and closes all sockets. */
+/** Closes all sockets. */
 void gs_peer_free (GsPeer *peer);
 
 /** Queues BYTES for the daemon at TO. Thread-safe; takes ownership of BYTES. */
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -2,13 +2,11 @@
  * gracefully. */
 #include <argp.h>
 #include <curl/curl.h>
+#include <ev.h>
 #include <malloc.h>
-#include <poll.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 #include <zmq.h>
 
 #include "../../platform/platform.h"
@@ -31,7 +29,7 @@
   MALLOC_LARGE_BYTES = 131072, /* larger pieces go back to the system when they are freed */
 };
 
-#define STOP_POLL_US (50 * G_TIME_SPAN_MILLISECOND)
+#define STOP_POLL_S 0.05
 /** Time for which answers to the address question may be on their way or just received. */
 #define STOP_MARGIN_US (1 * G_USEC_PER_SEC)
 /** Quiet time after which no request is expected on connections that callers kept. */
@@ -39,35 +37,8 @@
 /** Left of the limit for the process to end by itself. */
 #define STOP_EXIT_US (350 * G_TIME_SPAN_MILLISECOND)
 
-static volatile sig_atomic_t stop_signals;
-static volatile sig_atomic_t reload_signals;
-static int signal_fd; /* readable after a signal */
 static const char *settings_file;
 
-static void
-note_signal (int number)
-{
-  uint64_t one = 1;
-
-  if (number == SIGHUP)
-    reload_signals++;
-  else
-    stop_signals++;
-  if (write (signal_fd, &one, sizeof one) < 0)
-    return; /* it is readable already */
-}
-
-static void
-wait_for_signal (void)
-{
-  struct pollfd item = { .fd = signal_fd, .events = POLLIN };
-  uint64_t count;
-
-  poll (&item, 1, -1);
-  if (read (signal_fd, &count, sizeof count) < 0)
-    return; /* interrupted before the handler wrote */
-}
-
 typedef struct
 {
   const char *settings;
@@ -116,18 +87,6 @@
         NULL,
         NULL };
 
-static void
-set_signals (void)
-{
-  struct sigaction action = { .sa_handler = note_signal };
-
-  signal_fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  sigaction (SIGHUP, &action, NULL);
-  sigaction (SIGTERM, &action, NULL);
-  sigaction (SIGINT, &action, NULL);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 /* When a planned stop has to be over. */
 static int64_t
 stop_limit_us (const GsSettings *settings)
@@ -137,40 +96,10 @@
   return (int64_t)settings->stop_limit_ms * G_TIME_SPAN_MILLISECOND - STOP_EXIT_US;
 }
 
-/* Serves until callers' answers have run out and nothing is in flight. RETURN VALUE: requests cut.
- */
-static uint32_t
-drain (GsEngine *engine, GsEntry *entry)
-{
-  const GsSettings *settings = gs_engine_settings (engine);
-  int64_t begin_us = g_get_monotonic_time ();
-  int64_t limit_us = begin_us + stop_limit_us (settings);
-  int64_t life_us = settings->entries_life_ms * G_TIME_SPAN_MILLISECOND;
-  int64_t busy_us = begin_us + life_us + STOP_MARGIN_US;
-  int64_t refuse_us = begin_us + stop_limit_us (settings) / STOP_ACCEPT_PART;
-  uint64_t seen = gs_counter_value (GS_COUNTER_REQUESTS);
-
-  gs_engine_stop (engine);
-  while (g_get_monotonic_time () < limit_us && stop_signals < 2)
-    {
-      int64_t now_us = g_get_monotonic_time ();
-      uint64_t requests = gs_counter_value (GS_COUNTER_REQUESTS);
-      if (requests != seen || gs_entry_in_flight (entry) > 0)
-        busy_us = MAX (busy_us, now_us + STOP_QUIET_US);
-      seen = requests;
-      if (now_us >= busy_us)
-        break;
-      if (now_us >= refuse_us)
-        gs_entry_refuse (entry);
-      g_usleep (STOP_POLL_US);
-    }
-  gs_entry_quiesce (entry);
-  return gs_entry_in_flight (entry);
-}
-
 /* What serves besides the engine: callers, operators, and the source of the tables. */
 typedef struct
 {
+  struct ev_loop *loop;
   GsEngine *engine;
   GsEntry *entry;
   GsAdmin *admin;
@@ -185,31 +114,33 @@
   return *settings->store_url != '\0';
 }
 
-static GsEngine *
-make_engine (const GsSettings *settings, GError **error)
+static GsEntryOptions
+entry_options (GsEngine *engine, bool native)
 {
-  GsEngineOptions engine = { .settings = settings };
+  GsEntryOptions entry = { .engine = engine };
 
-  if (is_native (settings))
-    {
-      engine.parse_tables = platform_decode_tables;
-      engine.client = (GsClientOptions){ .connect_timeout_ms = UPSTREAM_CONNECT_MS,
-                                         .idle_ms = UPSTREAM_IDLE_MS,
-                                         .unframed = true,
-                                         .trust_losses = true };
-    }
-  return gs_engine_new (&engine, error);
+  if (!native)
+    return entry;
+  entry.dialect = &platform_dialect;
+  entry.client = (GsClientOptions){ .connect_timeout_ms = UPSTREAM_CONNECT_MS,
+                                    .idle_ms = UPSTREAM_IDLE_MS,
+                                    .unframed = true,
+                                    .trust_losses = true };
+  return entry;
 }
 
 static bool
 start_services (Services *services, const GsSettings *settings, GError **error)
 {
-  GsEntryOptions entry = { .dialect = is_native (settings) ? &platform_dialect : NULL };
+  GsEngineOptions engine = { .settings = settings,
+                             .loop = services->loop,
+                             .parse_tables = is_native (settings) ? platform_decode_tables : NULL };
+  GsEntryOptions entry;
 
-  services->engine = make_engine (settings, error);
+  services->engine = gs_engine_new (&engine, error);
   if (services->engine == NULL)
     return false;
-  entry.engine = services->engine;
+  entry = entry_options (services->engine, is_native (settings));
   services->entry = gs_entry_new (&entry, error);
   if (services->entry == NULL)
     return false;
@@ -245,22 +176,112 @@
 
 /* Settings hold addresses and limits of the whole process: a change takes a planned restart. */
 static void
-note_reload (void)
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
 {
   g_autoptr (GError) error = NULL;
   GsSettings *settings = gs_settings_load (settings_file, &error);
 
-  reload_signals = 0;
+  (void)loop;
+  (void)watcher;
+  (void)events;
   gs_log (GS_NOTICE_RELOADED, "settings=%s result=%s", settings_file,
           settings != NULL ? "unchanged-until-restart" : error->message);
   gs_settings_free (settings);
 }
 
+/* A planned stop: serves until callers' answers have run out and nothing is in flight. */
+typedef struct
+{
+  Services *services;
+  ev_signal terminate;
+  ev_signal interrupt;
+  ev_timer poll;
+  uint64_t seen;     /* requests at the last look */
+  int64_t busy_us;   /* requests are expected until then */
+  int64_t refuse_us; /* new requests are refused from then on */
+  int64_t limit_us;
+} Stop;
+
+static void
+on_stop_poll (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  Stop *stop = watcher->data;
+  GsEntry *entry = stop->services->entry;
+  int64_t now_us = g_get_monotonic_time ();
+  uint64_t requests = gs_counter_value (GS_COUNTER_REQUESTS);
+
+  (void)events;
+  if (requests != stop->seen || gs_entry_in_flight (entry) > 0)
+    stop->busy_us = MAX (stop->busy_us, now_us + STOP_QUIET_US);
+  stop->seen = requests;
+  if (now_us >= stop->busy_us || now_us >= stop->limit_us)
+    {
+      ev_break (loop, EVBREAK_ALL);
+      return;
+    }
+  if (now_us >= stop->refuse_us)
+    gs_entry_refuse (entry);
+}
+
+static void
+begin_stop (Stop *stop, struct ev_loop *loop)
+{
+  const GsSettings *settings = gs_engine_settings (stop->services->engine);
+  int64_t now_us = g_get_monotonic_time ();
+
+  gs_log (GS_NOTICE_STOPPING, "in_flight=%u", gs_entry_in_flight (stop->services->entry));
+  stop->limit_us = now_us + stop_limit_us (settings);
+  stop->busy_us
+      = now_us + (int64_t)settings->entries_life_ms * G_TIME_SPAN_MILLISECOND + STOP_MARGIN_US;
+  stop->refuse_us = now_us + stop_limit_us (settings) / STOP_ACCEPT_PART;
+  stop->seen = gs_counter_value (GS_COUNTER_REQUESTS);
+  gs_engine_stop (stop->services->engine);
+  ev_timer_start (loop, &stop->poll);
+}
+
+/* The first signal begins a planned stop, a second one ends it at once. */
+static void
+on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  Stop *stop = watcher->data;
+
+  (void)events;
+  if (ev_is_active (&stop->poll))
+    ev_break (loop, EVBREAK_ALL);
+  else
+    begin_stop (stop, loop);
+}
+
+/* Serves until a planned stop is over. */
+static void
+serve (Services *services)
+{
+  Stop stop = { .services = services };
+  ev_signal reload;
+
+  ev_signal_init (&reload, on_reload, SIGHUP);
+  ev_signal_init (&stop.terminate, on_stop_signal, SIGTERM);
+  ev_signal_init (&stop.interrupt, on_stop_signal, SIGINT);
+  ev_timer_init (&stop.poll, on_stop_poll, 0., STOP_POLL_S);
+  stop.terminate.data = &stop;
+  stop.interrupt.data = &stop;
+  stop.poll.data = &stop;
+  ev_signal_start (services->loop, &reload);
+  ev_signal_start (services->loop, &stop.terminate);
+  ev_signal_start (services->loop, &stop.interrupt);
+  ev_run (services->loop, 0);
+  ev_timer_stop (services->loop, &stop.poll);
+  ev_signal_stop (services->loop, &stop.terminate);
+  ev_signal_stop (services->loop, &stop.interrupt);
+  ev_signal_stop (services->loop, &reload);
+  gs_entry_quiesce (services->entry);
+}
+
 static int
 run (const GsSettings *settings)
 {
   g_autoptr (GError) error = NULL;
-  Services services = { 0 };
+  Services services = { .loop = ev_loop_new (EVBACKEND_EPOLL | EVFLAG_NOENV) };
   uint32_t cut;
 
   if (!start_services (&services, settings, &error))
@@ -271,14 +292,8 @@
   gs_log (GS_NOTICE_STARTED, "entry_port=%u admin_port=%u peer_port=%u failure_domain=%s",
           settings->entry_port, settings->admin_port, settings->peer_port,
           settings->failure_domain);
-  while (stop_signals == 0)
-    {
-      wait_for_signal ();
-      if (reload_signals > 0)
-        note_reload ();
-    }
-  gs_log (GS_NOTICE_STOPPING, "in_flight=%u", gs_entry_in_flight (services.entry));
-  cut = drain (services.engine, services.entry);
+  serve (&services);
+  cut = gs_entry_in_flight (services.entry);
   if (cut > 0)
     gs_log (GS_NOTICE_CUT, "requests=%u", cut);
   gs_counter_add (GS_COUNTER_REQUESTS_CUT, cut);
@@ -286,6 +301,7 @@
   if (cut > 0 || is_native (settings))
     return cut > 0 ? EXIT_CUT : EXIT_SUCCESS; /* the process ends; nothing waits for its threads */
   end_services (&services);
+  ev_loop_destroy (services.loop);
   return EXIT_SUCCESS;
 }
 
@@ -313,7 +329,7 @@
   gs_log_init ("gentianscaled", settings->instance, (GsLevel)settings->log_level);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
     return EXIT_START;
-  set_signals ();
+  signal (SIGPIPE, SIG_IGN);
   gs_log_start ();
   status = arguments.check_only ? EXIT_SUCCESS : run (settings);
   gs_log_flush ();
