Let at most three in ten of a pool's settled upstreams be idle

An upstream that lost a connection is not chosen while others have room, also long after its belief has fallen under the limit: four in ten got nothing for 2 s. Looks compete with the least expected loss and lose. Change: when more than three in ten of those that did not fail within 2 s have been idle for a second, the next request goes to the idle one that is most likely sound. The store's calls have a thread each while they last: a pool keeps one of its own to make threads.

--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -107,9 +107,19 @@
 gs_place_reason (const char *reason)
 {
   static const char *const reasons[] = {
-    "least-expected-loss", "fresh-evidence",    "pressing",    "no-free-slot",
-    "no-slot-in-time",     "no-other-upstream", "queue-full",  "deadline-out-of-reach",
-    "crashes-upstreams",   "repeat-budget",     "no-upstream", "attempt-may-finish",
+    "least-expected-loss",
+    "fresh-evidence",
+    "idle",
+    "pressing",
+    "no-free-slot",
+    "no-slot-in-time",
+    "no-other-upstream",
+    "queue-full",
+    "deadline-out-of-reach",
+    "crashes-upstreams",
+    "repeat-budget",
+    "no-upstream",
+    "attempt-may-finish",
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (reasons); i++)
--- a/src/gentian/core/slots.c
+++ b/src/gentian/core/slots.c
@@ -42,6 +42,12 @@
 /** Share of failed requests from which every upstream must get work: most of the pool may be
  * avoided for no good reason. */
 #define SLOTS_COVER_SHARE 0.09
+/** Most upstreams that may be idle, as part of those that did not fail lately. */
+#define SLOTS_IDLE_SHARE 0.3
+/** An upstream without work for so long is idle; the rule counts from 2 s. */
+#define SLOTS_IDLE_US (1000 * GS_US_PER_MS)
+/** An upstream that failed within this time may be idle: it does not count as sound yet. */
+#define SLOTS_FAILED_US (2 * GS_US_PER_S)
 #define SLOTS_LOAD_US (300 * GS_US_PER_MS)
 #define SLOTS_FULL_US (150 * GS_US_PER_MS)
 #define SLOTS_PATH_US (3 * GS_US_PER_S)
@@ -79,8 +85,9 @@
   GsBelief belief;
   int64_t observed_us;
   int64_t answered_us;
-  int64_t used_us; /* last request */
-  int64_t warm_us; /* cold until then */
+  int64_t failed_us; /* last sign of a fault */
+  int64_t used_us;   /* last request */
+  int64_t warm_us;   /* cold until then */
   int64_t load_us;
   int64_t full_until_us;
   uint32_t foreign;      /* requests of others, by its own word */
@@ -366,14 +373,79 @@
                             = upstream->observed_us != 0 ? now_us - upstream->observed_us : -1 };
 }
 
+static bool
+is_idle (const Upstream *upstream, int64_t now_us)
+{
+  return upstream->outstanding == 0 && now_us - upstream->used_us >= SLOTS_IDLE_US;
+}
+
+static bool
+may_be_idle (const Upstream *upstream, int64_t now_us)
+{
+  return upstream->failed_us != 0 && now_us - upstream->failed_us < SLOTS_FAILED_US;
+}
+
+/* Whether more upstreams are idle than may be. Beliefs about idle ones are old, and sound ones must
+ * get work whatever else fails. */
+static bool
+are_too_many_idle (const GsSlots *slots, int64_t now_us)
+{
+  uint32_t settled = 0;
+  uint32_t idle = 0;
+
+  for (guint i = 0; i < slots->upstreams->len; i++)
+    {
+      const Upstream *upstream = at (slots, i);
+      if (!is_usable (upstream) || may_be_idle (upstream, now_us))
+        continue;
+      settled++;
+      idle += is_idle (upstream, now_us) ? 1 : 0;
+    }
+  return idle > SLOTS_IDLE_SHARE * settled;
+}
+
+/* RETURN VALUE: the idle upstream that is most likely sound, where too many are idle, or NULL. */
+static const Upstream *
+pick_idle (const GsSlots *slots, const GsSlotChoice *choice)
+{
+  const Upstream *best = NULL;
+  double least = 1;
+
+  if (choice->no_look || !are_too_many_idle (slots, choice->now_us))
+    return NULL;
+  for (guint i = 0; i < slots->upstreams->len; i++)
+    {
+      const Upstream *upstream = at (slots, i);
+      double failing;
+      if (!is_idle (upstream, choice->now_us) || may_be_idle (upstream, choice->now_us)
+          || is_excluded (upstream, choice) || !has_room (upstream, choice->now_us))
+        continue;
+      failing = gs_belief_failing (&upstream->belief, &slots->rates, choice->now_us);
+      if (failing >= least)
+        continue;
+      best = upstream;
+      least = failing;
+    }
+  return best;
+}
+
 bool
 gs_slots_choose (GsSlots *slots, const GsSlotChoice *choice, GsSlotChosen *chosen)
 {
   double limit = acceptable (choice);
   double best = 0;
   bool found = false;
+  const Upstream *idle;
 
   update_rates (slots, choice->now_us);
+  idle = pick_idle (slots, choice);
+  if (idle != NULL)
+    {
+      fill_chosen (idle, gs_belief_failing (&idle->belief, &slots->rates, choice->now_us),
+                   choice->now_us, chosen);
+      chosen->reason = "idle";
+      return true;
+    }
   for (guint i = 0; i < slots->upstreams->len; i++)
     {
       const Upstream *upstream = at (slots, i);
@@ -468,6 +540,8 @@
   upstream->observed_us = now_us;
   if (sign == GS_SIGN_ANSWER)
     upstream->answered_us = now_us;
+  else
+    upstream->failed_us = now_us;
   if (upstream->belief.failing < SLOTS_TURN)
     upstream->failed_looks = 0;
   else if (sign != GS_SIGN_ANSWER && before >= SLOTS_TURN)
--- a/src/gentian/daemon/feed.c
+++ b/src/gentian/daemon/feed.c
@@ -31,17 +31,15 @@
 #define FEED_SETTLE_US (40 * GS_US_PER_MS)
 #define FEED_PULL_US (300 * GS_US_PER_MS)
 
-/** Time after which a thread for calls of the store ends that has had none. */
-#define FEED_THREAD_IDLE_MS 5000
-
 enum
 {
-  FEED_THREADS = 2, /* for a call of each topic */
+  FEED_TOPICS = 2,
 };
 
 /* A call of the store, made by a thread of its own; the loop takes what it brought. */
 typedef struct
 {
+  GsFeed *feed;
   GsStoreTopic topic;
   bool newest; /* in place of the records from a position on */
   uint64_t from;
@@ -56,8 +54,8 @@
   GsEngine *engine;
   GsStore *registrations;
   GsStore *tables;
-  GThreadPool *threads;
-  GAsyncQueue *ended; /* of Call */
+  GThread *threads[FEED_TOPICS]; /* of the call that a topic has under way; NULL: none */
+  GAsyncQueue *ended;            /* of Call */
   ev_async call_ended;
   ev_timer look;        /* whether to read */
   ev_timer tables_look; /* when to read the tables again */
@@ -323,12 +321,12 @@
   feed->tables_position = page->end;
 }
 
-/* Makes a call, on a thread for calls. */
-static void
-make_call (gpointer data, gpointer user_data)
+/* Makes a call, on a thread of its own. */
+static gpointer
+make_call (gpointer data)
 {
   Call *call = data;
-  GsFeed *feed = user_data;
+  GsFeed *feed = call->feed;
   bool tables = call->topic == GS_STORE_TABLES;
   GsStore *store = tables ? feed->tables : feed->registrations;
 
@@ -341,6 +339,7 @@
     decode_page (feed, call);
   g_async_queue_push (feed->ended, call);
   ev_async_send (gs_engine_loop (feed->engine), &feed->call_ended);
+  return NULL;
 }
 
 static void
@@ -359,11 +358,12 @@
 {
   Call *call = g_new0 (Call, 1);
 
+  call->feed = feed;
   call->topic = topic;
   call->newest = newest;
   call->from = from;
   call->state = store_state (feed);
-  g_thread_pool_push (feed->threads, call, NULL);
+  feed->threads[topic] = g_thread_new ("store", make_call, call);
 }
 
 static void
@@ -463,6 +463,7 @@
   (void)events;
   while ((call = g_async_queue_try_pop (feed->ended)) != NULL)
     {
+      g_thread_join (g_steal_pointer (&feed->threads[call->topic]));
       if (call->topic == GS_STORE_TABLES)
         end_tables_call (feed, call);
       else
@@ -483,8 +484,6 @@
   feed->begun_us = g_get_monotonic_time ();
   feed->random.state = gs_engine_incarnation (options->engine);
   feed->ended = g_async_queue_new_full (free_call);
-  g_thread_pool_set_max_idle_time (FEED_THREAD_IDLE_MS);
-  feed->threads = g_thread_pool_new (make_call, feed, FEED_THREADS, FALSE, NULL);
   ev_async_init (&feed->call_ended, on_call_ended);
   ev_timer_init (&feed->look, on_look, 0., 0.);
   ev_timer_init (&feed->tables_look, on_tables_look, 0., 0.);
@@ -504,7 +503,9 @@
   if (feed == NULL)
     return;
   loop = gs_engine_loop (feed->engine);
-  g_thread_pool_free (feed->threads, TRUE, TRUE);
+  for (int topic = 0; topic < FEED_TOPICS; topic++)
+    if (feed->threads[topic] != NULL)
+      g_thread_join (feed->threads[topic]);
   ev_async_stop (loop, &feed->call_ended);
   ev_timer_stop (loop, &feed->look);
   ev_timer_stop (loop, &feed->tables_look);
--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -12,6 +12,21 @@
   LAB_WINDOW_S = 10,
 };
 
+enum
+{
+  LAB_BINS = 256, /* of a run, for what is judged by spans */
+  LAB_SPAN_BINS = 8,
+};
+
+/** Length of a bin: a span of 2 s has eight. */
+#define LAB_BIN_S 0.25
+/** Bounds of the rule that sound upstreams get work. */
+#define LAB_IDLE_SHARE 0.7
+#define LAB_UNSERVED_LEAST 0.1
+#define LAB_UNSERVED_MOST 0.5
+/** Time after which a fleet knows the servers' usual faults. */
+#define LAB_WARM_S 4
+
 #define LAB_START_US (100 * GS_US_PER_S)
 /** The fleet finds itself before callers come. */
 #define LAB_SETTLE_US (3 * GS_US_PER_S)
@@ -55,6 +70,7 @@
   uint32_t tries;
   uint32_t runs;
   bool done;
+  bool served;
 } Call;
 
 /* An attempt of a daemon at an upstream. */
@@ -114,6 +130,8 @@
   GsRandom noise;   /* of its own, so that phases do not depend on what is decided */
   bool registered;
   bool leaving;
+  bool used_in[LAB_BINS];    /* it got a request */
+  bool unsound_in[LAB_BINS]; /* a fault concerned it, or it failed by itself */
 } Upstream;
 
 typedef struct
@@ -374,6 +392,7 @@
   if (call->done)
     return;
   call->done = true;
+  call->served = served;
   result->refused += refused ? 1 : 0;
   result->failed += !served && !refused ? 1 : 0;
   if (!served)
@@ -696,6 +715,14 @@
   end->work = work;
 }
 
+static int
+bin_at (int64_t at_us)
+{
+  double second = (double)(at_us - LAB_START_US - LAB_SETTLE_US) / (double)GS_US_PER_S;
+
+  return (int)CLAMP (second / LAB_BIN_S, 0, LAB_BINS - 1);
+}
+
 static void
 count_attempt (Lab *lab, const Work *work)
 {
@@ -706,6 +733,7 @@
 
   g_hash_table_replace (sends, g_memdup2 (&work->request, sizeof work->request),
                         GUINT_TO_POINTER (count));
+  lab->upstreams[work->pool][work->upstream].used_in[bin_at (lab->now_us)] = true;
   lab->result.attempts++;
   lab->result.to_pool[work->pool]++;
   lab->result.most_sends = MAX (lab->result.most_sends, count);
@@ -779,6 +807,7 @@
     end_attempt (lab, work, GS_OUTCOME_REFUSED);
   else if (!strikes (lab, work, LAB_FAULT_HANG))
     return false;
+  upstream->unsound_in[bin_at (lab->now_us)] = true;
   lab->result.lost++;
   return true;
 }
@@ -1089,6 +1118,95 @@
   result->cpu_us_per_request = (double)lab->cpu_ns / 1000 / MAX (result->all.asked, 1);
 }
 
+/* Marks the bins in which faults and noise make upstreams unsound, up to now. */
+static void
+note_unsound (Lab *lab)
+{
+  int bin = bin_at (lab->now_us);
+
+  for (uint32_t pool = 0; pool < lab->options->n_pools; pool++)
+    for (uint32_t i = 0; i < lab->options->pools[pool].n_upstreams; i++)
+      {
+        Upstream *upstream = &lab->upstreams[pool][i];
+        bool unsound = is_noisy (lab, pool, upstream);
+        for (uint32_t f = 0; f < lab->options->n_faults; f++)
+          unsound = unsound
+                    || (concerns (&lab->options->faults[f], pool, i)
+                        && is_active (lab, &lab->options->faults[f]));
+        upstream->unsound_in[bin] = upstream->unsound_in[bin] || unsound;
+      }
+}
+
+/* Whether the upstream had no fault in the span and a span before it. */
+static bool
+is_sound_in (const Upstream *upstream, int first)
+{
+  for (int bin = MAX (first - LAB_SPAN_BINS, 0); bin < first + LAB_SPAN_BINS; bin++)
+    if (upstream->unsound_in[bin])
+      return false;
+  return true;
+}
+
+static bool
+is_used_in (const Upstream *upstream, int first)
+{
+  for (int bin = first; bin < first + LAB_SPAN_BINS; bin++)
+    if (upstream->used_in[bin])
+      return true;
+  return false;
+}
+
+static double
+share_used (const Lab *lab, uint32_t pool, int first)
+{
+  uint32_t sound = 0;
+  uint32_t used = 0;
+
+  for (uint32_t i = 0; i < lab->options->pools[pool].n_upstreams; i++)
+    {
+      const Upstream *upstream = &lab->upstreams[pool][i];
+      if (!is_sound_in (upstream, first))
+        continue;
+      sound++;
+      used += is_used_in (upstream, first) ? 1 : 0;
+    }
+  return sound > 0 ? (double)used / sound : 1;
+}
+
+/* Counts the spans in which too many sound upstreams of a pool were idle. */
+static void
+count_idle_spans (Lab *lab, uint32_t pool)
+{
+  uint32_t asked[LAB_BINS] = { 0 };
+  uint32_t unserved[LAB_BINS] = { 0 };
+
+  for (guint i = 0; i < lab->calls->len; i++)
+    {
+      const Call *call = g_ptr_array_index (lab->calls, i);
+      int bin = bin_at (call->began_us);
+      if (strcmp (call->kind->pool, lab->options->pools[pool].name) != 0)
+        continue;
+      asked[bin]++;
+      unserved[bin] += call->served ? 0 : 1;
+    }
+  for (int first = 0; first + LAB_SPAN_BINS <= (int)(lab->options->length_s / LAB_BIN_S); first++)
+    {
+      double all = 0;
+      double lost = 0;
+      double used = share_used (lab, pool, first);
+      for (int bin = first; bin < first + LAB_SPAN_BINS; bin++)
+        {
+          all += asked[bin];
+          lost += unserved[bin];
+        }
+      if (lost > LAB_UNSERVED_LEAST * all && lost < LAB_UNSERVED_MOST * all && used > 0
+          && used < LAB_IDLE_SHARE)
+        lab->result.idle_sound++;
+      if (first * LAB_BIN_S >= LAB_WARM_S)
+        lab->result.least_used = MIN (lab->result.least_used, used);
+    }
+}
+
 LabResult
 lab_run (const LabOptions *options)
 {
@@ -1107,6 +1225,8 @@
           g_free (entry);
           break;
         }
+      if (bin_at (entry->at_us) != bin_at (lab.now_us))
+        note_unsound (&lab);
       lab.now_us = entry->at_us;
       happen (&lab, entry);
       lab.result.events++;
@@ -1114,6 +1234,9 @@
     }
   for (guint i = 0; i < lab.calls->len; i++)
     finish_call (&lab, g_ptr_array_index (lab.calls, i), false, false);
+  lab.result.least_used = 1;
+  for (uint32_t pool = 0; pool < options->n_pools; pool++)
+    count_idle_spans (&lab, pool);
   sum_up (&lab);
   clean_up (&lab);
   return lab.result;
--- a/test/lab/lab.h
+++ b/test/lab/lab.h
@@ -131,6 +131,9 @@
   double cpu_us_per_request; /**< processor time of the reducers */
   uint32_t most_sends;       /**< of one caller's attempt */
   uint32_t ran_twice;        /**< requests that may run once and ran twice */
+  double least_used; /**< least share of a pool's sound upstreams that got work in a span of 2 s */
+  uint32_t idle_sound; /**< spans of 2 s in which under 0.7 of a pool's sound upstreams got
+                            work, while a tenth to a half of its requests were not served */
 } LabResult;
 
 static inline void
--- a/test/unit/test_load.c
+++ b/test/unit/test_load.c
@@ -76,7 +76,7 @@
 static LabResult
 play (const char *pattern, LabOptions *options)
 {
-  LabResult sum = { 0 };
+  LabResult sum = { .least_used = 1 };
 
   for (uint64_t seed = 1; seed <= SEEDS; seed++)
     {
@@ -100,6 +100,8 @@
       sum.attempts += one.attempts;
       sum.collisions += one.collisions;
       sum.lost += one.lost;
+      sum.idle_sound += one.idle_sound;
+      sum.least_used = MIN (sum.least_used, one.least_used);
       sum.repeats += one.repeats;
       sum.repeats_window_max = MAX (sum.repeats_window_max, one.repeats_window_max);
       for (uint32_t i = 0; i < options->n_faults; i++)
@@ -109,13 +111,26 @@
         }
     }
   printf ("%s: worth %.3f served %.3f collisions %.4f lost %u at-fault %u used %u repeated %u "
-          "repeats %u\n",
+          "repeats %u idle-sound %u least-used %.2f\n",
           pattern, lab_worth (&sum.all), lab_served (&sum.all),
           (double)sum.collisions / MAX (sum.attempts, 1), sum.lost, sum.at_faulty[0], sum.used[0],
-          sum.repeats, sum.repeats_window_max);
+          sum.repeats, sum.repeats_window_max, sum.idle_sound, sum.least_used);
   return sum;
 }
 
+/* Orders to 24 servers of which 30% fail at any time in phases of 9 s, as on the users' days. */
+static LabOptions
+noisy_orders (double load)
+{
+  LabOptions options = orders (load * 24 / UPSTREAMS);
+
+  options.pools[0].n_upstreams = 24;
+  options.pools[0].noise_share = 0.3;
+  options.pools[0].noise_s = 9;
+  options.pools[0].noise_fails = 0.85;
+  return options;
+}
+
 START_TEST (steady_load_meets_no_full_server)
 {
   LabOptions options = orders (0.6);
@@ -216,6 +231,50 @@
 END_TEST
 
 /* A refusal has not run, so it goes elsewhere at once, within the budget of repeats. */
+/*
+ * Answers are lost at most of a pool for 4 s, while it has its usual noise: where every server has
+ * lost a connection lately, each still gets work within 2 s, in all but none of the spans in which
+ * a tenth of the requests is not served.
+ */
+START_TEST (losses_all_over_the_pool_leave_no_sound_server_idle)
+{
+  static const double loads[] = { 0.2, 0.35, 0.5 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      LabOptions options = noisy_orders (loads[i]);
+      LabFault most = fault (LAB_FAULT_RESET, 15, 8, 12, 0.4);
+      LabFault few = fault (LAB_FAULT_RESET, 4, 13, 20, 0.5);
+      LabResult result;
+
+      few.first = 18;
+      lab_add_fault (&options, &most);
+      lab_add_fault (&options, &few);
+      result = play ("losses all over", &options);
+      ck_assert_uint_eq (result.idle_sound, 0);
+    }
+}
+END_TEST
+
+/*
+ * Servers fail and recover as usual. Requests under way may be lost to a fault of the fleet at any
+ * moment, so in every span of 2 s seven in ten of the sound servers must have got work.
+ */
+START_TEST (usual_noise_leaves_no_sound_server_idle)
+{
+  static const double loads[] = { 0.2, 0.35, 0.5 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      LabOptions options = noisy_orders (loads[i]);
+      LabResult result = play ("usual noise", &options);
+
+      ck_assert_double_ge (result.least_used, 0.7);
+      ck_assert_double_ge (lab_served (&result.all), 1 - 0.012 - 0.05);
+    }
+}
+END_TEST
+
 START_TEST (servers_that_shed_cost_no_request)
 {
   LabOptions options = orders (0.35);
@@ -376,6 +435,8 @@
               &one_that_fails_at_once_is_not_the_fastest,
               &one_that_hangs_gets_little,
               &one_that_is_slow_by_five_gets_a_fifth_of_its_share,
+              &usual_noise_leaves_no_sound_server_idle,
+              &losses_all_over_the_pool_leave_no_sound_server_idle,
               &servers_that_shed_cost_no_request,
               &a_path_that_fails_for_one_domain_costs_nothing,
               &a_pool_that_shrinks_by_a_third_serves_on,
