Send small messages between daemons as datagrams, and place homes on strong instances

Cause: each ask, grant and end woke four threads and a home held a connection to every daemon: 52 MB resident at one home of the large site, of which 32 MB heap. Homes stood on any instance, most of which have a tenth of a core. Change: probes, asks, replies and copies of ends are datagrams; ends go over connections; an ask without a reply is sent again after 50 ms. Members tell their share of a core; homes and readers of the store are the strong ones first. The placer finds a repeated ask by a hash.

--- a/src/gentian/config/settings.c
+++ b/src/gentian/config/settings.c
@@ -73,6 +73,8 @@
     "repeats of the fleet on top of the share, in each window", NULL },
   { "repeat_window", GS_FIELD_DURATION, AT (repeat_window_ms), 100, 600000, "10s", "ms",
     "window over which repeats are bounded", NULL },
+  { "core_share", GS_FIELD_SHARE, AT (core_share_ppm), 0, 1, "1", "-",
+    "part of a core that this instance gives the daemon; strong ones work for the fleet", NULL },
   { "seeds", GS_FIELD_NODE, offsetof (SettingsFields, seeds), 0, 0, NULL, "rows",
     "peer addresses (ip:port) of other daemons to ask at the start", NULL },
 };
--- a/src/gentian/config/settings.h
+++ b/src/gentian/config/settings.h
@@ -46,6 +46,7 @@
   uint32_t readiness_port;  /**< 0: none */
   uint32_t entries_life_ms; /**< of answers to the address question */
   uint32_t stop_limit_ms;   /**< 0: stop_limit_s counts */
+  uint32_t core_share_ppm;
   uint32_t repeat_share_ppm;
   uint32_t repeat_slack;
   uint32_t repeat_window_ms;
--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -505,7 +505,7 @@
 {
   uint32_t indexes[GS_ENTRIES_MAX];
   uint32_t count
-      = gs_members_homes (core->members, gs_random_next (&core->random), GS_ENTRIES_MAX, indexes);
+      = gs_members_any (core->members, gs_random_next (&core->random), GS_ENTRIES_MAX, indexes);
 
   for (uint32_t i = 0; i < count; i++)
     if (gs_members_reachable (core->members, indexes[i]))
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -237,6 +237,7 @@
     {
       uint64_t pool;
       GsPlaceEnd end;
+      bool copy; /**< for a daemon that did not grant; its loss costs little */
     } place_end;
   };
 } GsEvent;
@@ -336,6 +337,7 @@
     {
       uint64_t pool;
       GsPlaceEnd end;
+      bool copy; /**< for a daemon that did not grant; its loss costs little */
     } place_end;
     struct
     {
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -89,6 +89,7 @@
   uint64_t ask;          /* its token */
   uint64_t asked;        /* hash of the daemon that was asked; 0: this one */
   int64_t ask_due_us;    /* when its reply is overdue */
+  int64_t ask_resend_us; /* when it is sent again without a reply; 0: not any more */
   bool ask_waits;        /* it said that there is no slot yet */
   uint64_t silent[CORE_SILENT_MAX];
   uint8_t n_silent;
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -669,9 +669,31 @@
   return false;
 }
 
+/* Power from which a member counts as strong: half of the strongest one's. */
+static uint32_t
+strong_power (const GsMembers *members)
+{
+  uint32_t most = 0;
+
+  for (uint32_t i = 0; i < members->members->len; i++)
+    if (may_be_home (member_at (members, i)))
+      most = MAX (most, member_at (members, i)->fact.power);
+  return (most + 1) / 2;
+}
+
+/* Rendezvous weight for KEY; each strong member outweighs all others. */
+static uint64_t
+weight_of (const Member *member, uint64_t key, uint32_t strong)
+{
+  uint64_t weight = gs_mix64 (member->hash ^ key) >> 1;
+
+  return member->fact.power >= strong ? weight | UINT64_C (1) << 63 : weight;
+}
+
 static int64_t
 best_home (const GsMembers *members,
            uint64_t key,
+           uint32_t strong,
            const uint32_t *indexes,
            uint32_t picked,
            bool new_domain)
@@ -682,7 +704,7 @@
   for (uint32_t i = 0; i < members->members->len; i++)
     {
       const Member *member = member_at (members, i);
-      uint64_t weight = gs_mix64 (member->hash ^ key);
+      uint64_t weight = weight_of (member, key, strong);
       if (!may_be_home (member) || (best >= 0 && weight <= best_weight)
           || already_picked (indexes, picked, i)
           || (new_domain && domain_taken (members, indexes, picked, member)))
@@ -693,16 +715,20 @@
   return best;
 }
 
-uint32_t
-gs_members_homes (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes)
+static uint32_t
+pick_homes (const GsMembers *members,
+            uint64_t key,
+            uint32_t strong,
+            uint32_t count,
+            uint32_t *indexes)
 {
   uint32_t picked = 0;
 
   while (picked < count)
     {
-      int64_t best = best_home (members, key, indexes, picked, true);
+      int64_t best = best_home (members, key, strong, indexes, picked, true);
       if (best < 0)
-        best = best_home (members, key, indexes, picked, false);
+        best = best_home (members, key, strong, indexes, picked, false);
       if (best < 0)
         break;
       indexes[picked++] = (uint32_t)best;
@@ -710,11 +736,24 @@
   return picked;
 }
 
+uint32_t
+gs_members_homes (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes)
+{
+  return pick_homes (members, key, strong_power (members), count, indexes);
+}
+
+uint32_t
+gs_members_any (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes)
+{
+  return pick_homes (members, key, 0, count, indexes);
+}
+
 uint32_t
 gs_members_domain_rank (const GsMembers *members, uint64_t key)
 {
   const Member *self = member_at (members, 0);
-  uint64_t own = gs_mix64 (self->hash ^ key);
+  uint32_t strong = strong_power (members);
+  uint64_t own = weight_of (self, key, strong);
   uint32_t rank = 0;
 
   for (uint32_t i = 1; i < members->members->len; i++)
@@ -722,7 +761,7 @@
       const Member *member = member_at (members, i);
       if (member->fact.state == GS_MEMBER_ALIVE
           && strcmp (member->fact.failure_domain, self->fact.failure_domain) == 0
-          && gs_mix64 (member->hash ^ key) > own)
+          && weight_of (member, key, strong) > own)
         rank++;
     }
   return rank;
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -51,6 +51,7 @@
   uint32_t version;     /**< grows with each refutation */
   uint8_t state;        /**< GsMemberState */
   uint8_t ready;        /**< 1 when it has the tables and may be named to callers */
+  uint16_t power;       /**< share of a core that its instance gives it, in thousandths */
 } GsMemberFact;
 
 /** Kinds of membership messages. */
@@ -144,14 +145,19 @@
 
 /**
  * Picks the COUNT members with the highest rendezvous weight for KEY (Thaler and Ravishankar 1998),
- * at most one a failure domain until every domain has one. Only ready, alive members count.
+ * at most one a failure domain until every domain has one. Only ready, alive members count, and
+ * those with half of the power of the strongest go first: a home works for the whole fleet.
  *
  * RETURN VALUE: how many indexes were written to INDEXES.
  */
 uint32_t
 gs_members_homes (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes);
 
-/** RETURN VALUE: rank of this daemon for KEY among the alive members of its failure domain. */
+/** The same among members of any power. */
+uint32_t gs_members_any (const GsMembers *members, uint64_t key, uint32_t count, uint32_t *indexes);
+
+/** RETURN VALUE: rank of this daemon for KEY among the alive members of its failure domain, strong
+ * ones first. */
 uint32_t gs_members_domain_rank (const GsMembers *members, uint64_t key);
 
 #endif
--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -61,6 +61,7 @@
 typedef struct
 {
   uint64_t id;
+  uint64_t ask;       /* key of the ask */
   GsPlaceReply reply; /* repeated when the ask is */
   uint64_t flow;
   uint64_t fingerprint;
@@ -93,6 +94,7 @@
   GsCrashes *crashed; /* fingerprints of upstreams found down after */
   GPtrArray *waiting; /* of Waiting, by priority and arrival */
   GHashTable *grants; /* id -> Grant */
+  GHashTable *asked;  /* key of the ask -> Grant, not owned */
   GQueue replies;     /* of GsPlaceReply */
   GQueue changes;     /* of GsBeliefChange */
   Loss losses[PLACER_LOSSES];
@@ -143,6 +145,7 @@
   placer->crashed = gs_crashes_new (&crashed);
   placer->waiting = g_ptr_array_new_with_free_func (g_free);
   placer->grants = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  placer->asked = g_hash_table_new (g_int64_hash, g_int64_equal);
   placer->random.state = options->seed;
   placer->next_grant = gs_mix64 (options->seed + 2);
   g_queue_init (&placer->replies);
@@ -159,6 +162,7 @@
   gs_crashes_free (placer->lost);
   gs_crashes_free (placer->crashed);
   g_ptr_array_unref (placer->waiting);
+  g_hash_table_destroy (placer->asked);
   g_hash_table_destroy (placer->grants);
   g_queue_clear_full (&placer->replies, g_free);
   g_queue_clear_full (&placer->changes, g_free);
@@ -252,18 +256,34 @@
   return MIN (left_us, MAX (slow_us, PLACER_ATTEMPT_MIN_US));
 }
 
+static uint64_t
+ask_key (uint64_t origin, uint64_t token)
+{
+  return gs_mix64 (origin ^ gs_mix64 (token));
+}
+
 static void
 add_grant (GsPlacer *placer, const GsPlaceAsk *ask, const GsPlaceReply *reply, int64_t now_us)
 {
   Grant *grant = g_new0 (Grant, 1);
 
   *grant = (Grant){ .id = reply->grant,
+                    .ask = ask_key (ask->origin, ask->token),
                     .reply = *reply,
                     .flow = ask->flow,
                     .fingerprint = ask->fingerprint,
                     .started_us = now_us,
                     .deadline_us = ask->deadline_us };
   g_hash_table_insert (placer->grants, &grant->id, grant);
+  g_hash_table_replace (placer->asked, &grant->ask, grant);
+}
+
+/* Forgets what is kept of the ask; the grant itself stays. */
+static void
+forget_asked (GsPlacer *placer, const Grant *grant)
+{
+  if (g_hash_table_lookup (placer->asked, &grant->ask) == grant)
+    g_hash_table_remove (placer->asked, &grant->ask);
 }
 
 /* Whether a request cannot wait for a better upstream any longer. */
@@ -373,17 +393,9 @@
 static Grant *
 find_grant (const GsPlacer *placer, uint64_t origin, uint64_t token)
 {
-  GHashTableIter iter;
-  gpointer value;
+  uint64_t key = ask_key (origin, token);
 
-  g_hash_table_iter_init (&iter, placer->grants);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Grant *grant = value;
-      if (grant->reply.origin == origin && grant->reply.token == token)
-        return grant;
-    }
-  return NULL;
+  return g_hash_table_lookup (placer->asked, &key);
 }
 
 /* Answers an ask that is known. RETURN VALUE: false when it is new. */
@@ -728,7 +740,10 @@
   if (end->grant != 0)
     observe_end (placer, end, grant, now_us);
   if (grant != NULL)
-    g_hash_table_remove (placer->grants, &grant->id);
+    {
+      forget_asked (placer, grant);
+      g_hash_table_remove (placer->grants, &grant->id);
+    }
   serve_waiting (placer, now_us);
 }
 
@@ -746,6 +761,7 @@
       if (now_us <= grant->deadline_us + PLACER_GRANT_GRACE_US)
         continue;
       gs_slots_release (placer->slots, grant->reply.upstream);
+      forget_asked (placer, grant);
       g_hash_table_iter_remove (&iter);
     }
   serve_waiting (placer, now_us);
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -15,6 +15,8 @@
 /** Wait for the reply to an ask: a round trip between failure domains takes some ms, and a slow
  * daemon some tens. */
 #define PLACING_REPLY_US (120 * GS_US_PER_MS)
+/** An ask without a reply is sent again after this, since a datagram may be lost. */
+#define PLACING_RESEND_US (50 * GS_US_PER_MS)
 /** An ask that waits for a slot is repeated this often, which shows that both ends live. */
 #define PLACING_REPEAT_US (250 * GS_US_PER_MS)
 /** Ticks are due this soon while a reply may be overdue or a slot may have to be given, else that.
@@ -195,6 +197,7 @@
   request->asked = placer != NULL ? gs_hash_name (placer->id) : 0;
   if (placer != NULL)
     {
+      request->ask_resend_us = core->now_us + PLACING_RESEND_US;
       send_ask (core, request, placer);
       return;
     }
@@ -220,7 +223,7 @@
   return NULL;
 }
 
-static void
+static GsEffect *
 send_end (GsCore *core, uint64_t pool, const GsPlaceEnd *end, const GsPeerAddress *to)
 {
   GsEffect *effect = core_add_effect (core, GS_EFFECT_PLACE_END);
@@ -228,6 +231,7 @@
   effect->to = *to;
   effect->place_end.pool = pool;
   effect->place_end.end = *end;
+  return effect;
 }
 
 /* Takes an ask back that is not wanted any more. */
@@ -373,6 +377,7 @@
                      "request=%" G_GUINT64_FORMAT " id=%s pool=%s length=%u", request->id,
                      request->label, request->pool->name, reply->waiting);
       request->ask_waits = true;
+      request->ask_resend_us = 0;
       request->ask_due_us = core->now_us + PLACING_REPEAT_US;
       break;
     case GS_PLACE_REFUSED:
@@ -399,13 +404,31 @@
   placing_ask (core, request);
 }
 
+static void
+resend_ask (GsCore *core, Request *request)
+{
+  const GsMemberFact *placer;
+
+  if (request->ask_resend_us == 0 || core->now_us < request->ask_resend_us)
+    return;
+  request->ask_resend_us = 0;
+  placer = asked_member (core, request);
+  if (placer != NULL)
+    send_ask (core, request, placer);
+}
+
 static void
 judge_ask (GsCore *core, Request *request)
 {
   const GsMemberFact *placer;
 
-  if (request->phase != REQUEST_ASKING || request->asked == 0 || core->now_us < request->ask_due_us)
+  if (request->phase != REQUEST_ASKING || request->asked == 0)
     return;
+  if (core->now_us < request->ask_due_us)
+    {
+      resend_ask (core, request);
+      return;
+    }
   placer = request->ask_waits ? asked_member (core, request) : NULL;
   if (placer == NULL)
     {
@@ -414,6 +437,7 @@
     }
   request->ask_waits = false;
   request->ask_due_us = core->now_us + PLACING_REPLY_US;
+  request->ask_resend_us = core->now_us + PLACING_RESEND_US;
   send_ask (core, request, placer);
 }
 
@@ -477,7 +501,7 @@
       if (home.ipv4 == attempt->placer.ipv4 && home.peer_port == attempt->placer.peer_port)
         continue;
       if (state->homes[i] != 0)
-        send_end (core, state->key, end, &home);
+        send_end (core, state->key, end, &home)->place_end.copy = true;
       else if (!is_here (&attempt->placer))
         {
           gs_placer_end (placer_of (core, state), end, core->now_us);
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -97,7 +97,9 @@
 static void
 send_wire (GsEngine *engine, const GsPeerAddress *to, const GsWireMessage *message)
 {
-  gs_peer_send (engine->peer, to, gs_wire_encode (message));
+  GsPeerWay way = message->kind == GS_WIRE_PROBE ? GS_PEER_QUICK : GS_PEER_STEADY;
+
+  gs_peer_send (engine->peer, to, way, gs_wire_encode (message));
 }
 
 static GsPeerAddress
@@ -115,7 +117,7 @@
   g_autoptr (GBytes) bytes = gs_wire_encode (&message);
 
   for (uint32_t i = 0; i < effect->news.n_recipients; i++)
-    gs_peer_send (engine->peer, &effect->news.recipients[i], g_bytes_ref (bytes));
+    gs_peer_send (engine->peer, &effect->news.recipients[i], GS_PEER_STEADY, g_bytes_ref (bytes));
 }
 
 /* Sends what concerns a slot; times become durations, since clocks of two daemons differ. */
@@ -124,6 +126,7 @@
 {
   GsWireMessage message = { .reply_to = own_address (engine) };
   int64_t now_us = g_get_monotonic_time ();
+  GsPeerWay way = GS_PEER_QUICK;
 
   switch (effect->kind)
     {
@@ -142,8 +145,9 @@
       message.kind = GS_WIRE_PLACE_END;
       message.pool = effect->place_end.pool;
       message.end = effect->place_end.end;
+      way = effect->place_end.copy ? GS_PEER_QUICK : GS_PEER_STEADY; /* it frees a slot */
     }
-  send_wire (engine, &effect->to, &message);
+  gs_peer_send (engine->peer, &effect->to, way, gs_wire_encode (&message));
 }
 
 static void
@@ -417,7 +421,7 @@
       GsPeerAddress to = { .ipv4 = member->ipv4, .peer_port = member->peer_port };
       if (member->state != GS_MEMBER_DEAD
           && strcmp (member->failure_domain, engine->settings->failure_domain) == 0)
-        gs_peer_send (engine->peer, &to, g_bytes_ref (bytes));
+        gs_peer_send (engine->peer, &to, GS_PEER_STEADY, g_bytes_ref (bytes));
     }
   gs_engine_unlock (engine);
   gs_wire_clear (&message);
@@ -597,7 +601,8 @@
                             .self = { .ipv4 = settings->address,
                                       .entry_port = (uint16_t)settings->entry_port,
                                       .peer_port = (uint16_t)settings->peer_port,
-                                      .incarnation = engine->incarnation } };
+                                      .incarnation = engine->incarnation,
+                                      .power = (uint16_t)(settings->core_share_ppm / 1000) } };
 
   g_strlcpy (options.self.id, settings->instance, sizeof options.self.id);
   g_strlcpy (options.self.failure_domain, settings->failure_domain,
--- a/src/gentian/peer/peer.c
+++ b/src/gentian/peer/peer.c
@@ -1,6 +1,10 @@
 #include "peer.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <zmq.h>
 
 #include "../log/counter.h"
@@ -15,6 +19,10 @@
   PEER_CONNECT_TIMEOUT_MS = 150,
   PEER_RECONNECT_MS = 50,
   PEER_RECONNECT_MAX_MS = 1000,
+  /* Fits one packet of any usual network. */
+  PEER_DATAGRAM_BYTES_MAX = 1200,
+  PEER_DATAGRAMS = 64, /* taken in before the loop's other events get their turn */
+  PEER_DATAGRAM_BUFFER_BYTES = 1024 * 1024,
   PEER_MESSAGE_BYTES_MAX = 256 * 1024 * 1024,
   PEER_ZAP_FRAMES_MAX = 16,
 };
@@ -25,6 +33,7 @@
 typedef struct
 {
   GsPeerAddress to;
+  GsPeerWay way;
   GBytes *bytes;
 } Outgoing;
 
@@ -40,11 +49,13 @@
   void *context;
   void *zap;
   void *incoming;
+  int datagrams;     /* socket of small messages; -1: all go by ZeroMQ */
   GHashTable *links; /* address as integer -> Link */
   GAsyncQueue *queue;
   GThread *owner; /* runs the loop */
   ev_io incoming_ready;
   ev_io zap_ready;
+  ev_io datagrams_ready;
   ev_async queued;
   ev_timer sweep;
   char public_key_z85[41];
@@ -114,14 +125,53 @@
   return link;
 }
 
+static struct sockaddr_in
+socket_address (uint32_t ipv4, uint16_t port)
+{
+  return (struct sockaddr_in){ .sin_family = AF_INET,
+                               .sin_port = htons (port),
+                               .sin_addr.s_addr = htonl (ipv4) };
+}
+
+static void
+count_sent (size_t length)
+{
+  gs_counter_add (GS_COUNTER_PEER_SENT, 1);
+  gs_counter_add (GS_COUNTER_PEER_SENT_BYTES, length);
+}
+
+static void
+count_received (size_t length)
+{
+  gs_counter_add (GS_COUNTER_PEER_RECEIVED, 1);
+  gs_counter_add (GS_COUNTER_PEER_RECEIVED_BYTES, length);
+}
+
+static void
+send_datagram (GsPeer *peer, const GsPeerAddress *to, const void *bytes, size_t length)
+{
+  struct sockaddr_in address = socket_address (to->ipv4, to->peer_port);
+
+  if (sendto (peer->datagrams, bytes, length, MSG_DONTWAIT | MSG_NOSIGNAL,
+              (struct sockaddr *)&address, sizeof address)
+      >= 0)
+    count_sent (length);
+}
+
 static void
 send_one (GsPeer *peer, const Outgoing *outgoing)
 {
   int64_t key = (int64_t)outgoing->to.ipv4 << 16 | outgoing->to.peer_port;
-  Link *link = g_hash_table_lookup (peer->links, &key);
+  Link *link;
   gsize length;
   const void *bytes = g_bytes_get_data (outgoing->bytes, &length);
 
+  if (peer->datagrams >= 0 && outgoing->way == GS_PEER_QUICK && length <= PEER_DATAGRAM_BYTES_MAX)
+    {
+      send_datagram (peer, &outgoing->to, bytes, length);
+      return;
+    }
+  link = g_hash_table_lookup (peer->links, &key);
   if (link == NULL)
     {
       link = open_link (peer, &outgoing->to);
@@ -130,8 +180,7 @@
   link->used_us = g_get_monotonic_time ();
   if (zmq_send (link->socket, bytes, length, ZMQ_DONTWAIT) < 0)
     return;
-  gs_counter_add (GS_COUNTER_PEER_SENT, 1);
-  gs_counter_add (GS_COUNTER_PEER_SENT_BYTES, length);
+  count_sent (length);
 }
 
 static void
@@ -161,8 +210,7 @@
   zmq_msg_init (&message);
   while (zmq_msg_recv (&message, peer->incoming, ZMQ_DONTWAIT) >= 0)
     {
-      gs_counter_add (GS_COUNTER_PEER_RECEIVED, 1);
-      gs_counter_add (GS_COUNTER_PEER_RECEIVED_BYTES, zmq_msg_size (&message));
+      count_received (zmq_msg_size (&message));
       peer->options.sink (zmq_msg_data (&message), zmq_msg_size (&message), peer->options.data);
       zmq_msg_close (&message);
       zmq_msg_init (&message);
@@ -223,6 +271,24 @@
   receive_all (watcher->data);
 }
 
+static void
+on_datagrams (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  GsPeer *peer = watcher->data;
+  char bytes[PEER_DATAGRAM_BYTES_MAX];
+
+  (void)loop;
+  (void)events;
+  for (int i = 0; i < PEER_DATAGRAMS; i++)
+    {
+      ssize_t length = recv (peer->datagrams, bytes, sizeof bytes, MSG_DONTWAIT);
+      if (length < 0)
+        return;
+      count_received ((size_t)length);
+      peer->options.sink (bytes, (size_t)length, peer->options.data);
+    }
+}
+
 static void
 on_zap (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -283,6 +349,10 @@
   peer->sweep.data = peer;
   ev_async_start (loop, &peer->queued);
   ev_timer_start (loop, &peer->sweep);
+  ev_io_init (&peer->datagrams_ready, on_datagrams, peer->datagrams, EV_READ);
+  peer->datagrams_ready.data = peer;
+  if (peer->datagrams >= 0)
+    ev_io_start (loop, &peer->datagrams_ready);
 }
 
 static void
@@ -292,6 +362,7 @@
 
   ev_io_stop (loop, &peer->incoming_ready);
   ev_io_stop (loop, &peer->zap_ready);
+  ev_io_stop (loop, &peer->datagrams_ready);
   ev_async_stop (loop, &peer->queued);
   ev_timer_stop (loop, &peer->sweep);
 }
@@ -325,6 +396,26 @@
   return FALSE;
 }
 
+/* Datagrams carry no keys, so an encrypted fleet has none. */
+static gboolean
+bind_datagrams (GsPeer *peer, GError **error)
+{
+  struct sockaddr_in address = socket_address (peer->options.ipv4, peer->options.port);
+  int buffer = PEER_DATAGRAM_BUFFER_BYTES;
+
+  if (is_encrypted (peer))
+    return TRUE;
+  peer->datagrams = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (peer->datagrams, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  if (peer->datagrams >= 0
+      && bind (peer->datagrams, (struct sockaddr *)&address, sizeof address) == 0)
+    return TRUE;
+  g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED,
+               "cannot take datagrams of daemons at port %u: %s", peer->options.port,
+               g_strerror (errno));
+  return FALSE;
+}
+
 GsPeer *
 gs_peer_new (const GsPeerOptions *options, GError **error)
 {
@@ -336,7 +427,8 @@
   peer->links = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, free_link);
   peer->queue = g_async_queue_new_full (free_outgoing);
   peer->owner = g_thread_self ();
-  if (!bind_sockets (peer, error))
+  peer->datagrams = -1;
+  if (!bind_sockets (peer, error) || !bind_datagrams (peer, error))
     {
       gs_peer_free (peer);
       return NULL;
@@ -350,22 +442,26 @@
 {
   if (peer == NULL)
     return;
-  stop_watching (peer);
+  if (ev_is_active (&peer->queued))
+    stop_watching (peer);
   send_queued (peer);
   g_hash_table_destroy (peer->links);
   zmq_close (peer->incoming);
   zmq_close (peer->zap);
   zmq_ctx_term (peer->context);
+  if (peer->datagrams >= 0)
+    close (peer->datagrams);
   g_async_queue_unref (peer->queue);
   g_free (peer);
 }
 
 void
-gs_peer_send (GsPeer *peer, const GsPeerAddress *to, GBytes *bytes)
+gs_peer_send (GsPeer *peer, const GsPeerAddress *to, GsPeerWay way, GBytes *bytes)
 {
   Outgoing *outgoing = g_new0 (Outgoing, 1);
 
   outgoing->to = *to;
+  outgoing->way = way;
   outgoing->bytes = bytes;
   g_async_queue_push (peer->queue, outgoing);
   if (g_thread_self () == peer->owner)
--- a/src/gentian/peer/peer.h
+++ b/src/gentian/peer/peer.h
@@ -1,12 +1,13 @@
 /**
  * NAME
- *   peer - ZeroMQ sockets between daemons
+ *   peer - messages between daemons, by ZeroMQ and datagrams
  *
  * DESCRIPTION
  *   An event loop watches the sockets: a PULL socket for what comes in, and a PUSH socket for each
- * daemon that was spoken to lately. Where keys are set, CURVE encrypts both ways, and a ZAP handler
- * lets in only holders of the fleet's key. A message that cannot be sent at once is dropped; the
- * protocols above expect losses.
+ * daemon that was spoken to lately. Quick messages go as datagrams where no keys are set: a home
+ * speaks to every daemon of the fleet, and a connection to each would take 80 KB. Where keys are
+ * set, CURVE encrypts both ways, and a ZAP handler lets in only holders of the fleet's key. A
+ * message that cannot be sent at once is dropped; the protocols above expect losses.
  */
 #ifndef GS_PEER_H
 #define GS_PEER_H
@@ -38,7 +39,14 @@
 /** Closes all sockets. */
 void gs_peer_free (GsPeer *peer);
 
+/** How a message travels. */
+typedef enum
+{
+  GS_PEER_STEADY = 0, /**< over a connection, which is not lost where a link is full */
+  GS_PEER_QUICK,      /**< as a datagram where it fits; it is repeated, or its loss costs little */
+} GsPeerWay;
+
 /** Queues BYTES for the daemon at TO. Thread-safe; takes ownership of BYTES. */
-void gs_peer_send (GsPeer *peer, const GsPeerAddress *to, GBytes *bytes);
+void gs_peer_send (GsPeer *peer, const GsPeerAddress *to, GsPeerWay way, GBytes *bytes);
 
 #endif
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -7,7 +7,7 @@
 static void
 pack_fact (msgpack_packer *packer, const GsMemberFact *fact)
 {
-  msgpack_pack_array (packer, 9);
+  msgpack_pack_array (packer, 10);
   gs_pack_text (packer, fact->id);
   gs_pack_text (packer, fact->failure_domain);
   msgpack_pack_uint32 (packer, fact->ipv4);
@@ -17,6 +17,7 @@
   msgpack_pack_uint32 (packer, fact->version);
   msgpack_pack_uint8 (packer, fact->state);
   msgpack_pack_uint8 (packer, fact->ready);
+  msgpack_pack_uint16 (packer, fact->power);
 }
 
 static void
@@ -33,6 +34,7 @@
   fact->version = (uint32_t)gs_read_uint (&item, UINT32_MAX);
   fact->state = (uint8_t)gs_read_uint (&item, GS_MEMBER_DEAD);
   fact->ready = (uint8_t)gs_read_uint (&item, 1);
+  fact->power = (uint16_t)gs_read_uint (&item, UINT16_MAX);
   list->failed = list->failed || item.failed || fact->id[0] == '\0';
 }
 
--- a/src/gentian/peer/wire.h
+++ b/src/gentian/peer/wire.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  GS_WIRE_VERSION = 2,
+  GS_WIRE_VERSION = 3,
   GS_WIRE_FACTS_MAX = 20000,             /**< members in one message */
   GS_WIRE_CHANGES_MAX = GS_REGISTRY_MAX, /**< registrations in one message */
 };
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -289,6 +289,36 @@
 }
 END_TEST
 
+/* A home works for the whole fleet, so it stands on a strong instance while one lives. */
+START_TEST (homes_and_readers_are_strong_ones_first)
+{
+  Net net = { .now_us = GS_US_PER_S };
+  GsProbe probe = { .kind = GS_PROBE_MEMBERS };
+  uint32_t homes[3];
+
+  nodes[0] = (Node){ &net, 0 };
+  net.members[0] = gs_members_new (
+      &(GsMembersOptions){ .self = fact_of (0), .seed = 1, .sink = take, .data = &nodes[0] });
+  for (int i = 1; i < NODES; i++)
+    {
+      probe.from = fact_of (i);
+      probe.from.ready = 1;
+      probe.from.power = i == 3 || i == 7 ? 500 : 100;
+      gs_members_receive (net.members[0], &probe, net.now_us);
+    }
+  for (uint64_t key = 1; key < 40; key++)
+    {
+      ck_assert_uint_eq (gs_members_homes (net.members[0], gs_mix64 (key), 3, homes), 3);
+      ck_assert_uint_eq (gs_members_get (net.members[0], homes[0])->power, 500);
+      ck_assert_uint_eq (gs_members_get (net.members[0], homes[1])->power, 500);
+      ck_assert_uint_ge (gs_members_domain_rank (net.members[0], gs_mix64 (key)), 1);
+    }
+  for (int i = 1; i < NODES; i++)
+    net.members[i] = gs_members_new (&(GsMembersOptions){ .self = fact_of (i), .sink = take });
+  close_net (&net);
+}
+END_TEST
+
 START_TEST (messages_do_not_grow_with_the_fleet)
 {
   Net net;
@@ -339,5 +369,6 @@
               &a_paused_member_comes_back,
               &leaving_is_told_and_not_named,
               &homes_agree_and_spread_over_domains,
+              &homes_and_readers_are_strong_ones_first,
               &messages_do_not_grow_with_the_fleet,
               &a_large_fleet_is_probed_half_as_often)
--- a/test/unit/test_placing.c
+++ b/test/unit/test_placing.c
@@ -344,6 +344,34 @@
 }
 END_TEST
 
+/* A datagram may be lost: the same home is asked again, and stays the home. */
+START_TEST (a_lost_ask_is_sent_again_to_the_same_home)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 3);
+  int home;
+  int core;
+  GsEffect *effect;
+
+  request (fleet, 0, 1);
+  home = placer_of (fleet);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+  end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+  take_effect (fleet, GS_EFFECT_KEPT_ANSWER, NULL);
+  core = (home + 1) % FLEET;
+  fleet->losing = true;
+  fleet->lose = GS_EFFECT_PLACE_ASK;
+  request (fleet, core, 2);
+  fleet->losing = false;
+  for (int i = 0; i < 4 && take_effect (fleet, GS_EFFECT_ATTEMPT, NULL) == NULL; i++)
+    {
+      ck_assert_int_lt (i, 3); /* sent again after 50 ms */
+      tick (fleet, 25 * GS_US_PER_MS);
+    }
+  ck_assert_int_eq (placer_of (fleet), home);
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (a_lost_reply_costs_no_slot)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
@@ -627,6 +655,7 @@
               &one_home_gives_all_slots,
               &a_slot_comes_back_when_the_attempt_ends,
               &a_silent_placer_is_passed_over,
+              &a_lost_ask_is_sent_again_to_the_same_home,
               &a_lost_reply_costs_no_slot,
               &a_caller_that_leaves_gives_its_place_back,
               &what_may_have_run_once_is_not_sent_again,
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -109,7 +109,7 @@
     -e "s|{{Listen.Ready}}|127.0.0.1:$((base + 1))|; s|{{Listen.Control}}|127.0.0.1:$((base + 2))|" \
     -e "s|{{Listen.Directory}}|127.0.0.1:$((base + 3))|; s|{{PortRange.0}}|$((base + 4))|" \
     -e "s|{{Seeds.json}}|[\"127.0.0.1:$((PORTS + 212))\", \"127.0.0.1:$((PORTS + 222))\"]|" \
-    -e "s|{{Platform.Address}}|127.0.0.1:$STORE|; s|{{Bounds.Grace}}|6s|; s|{{Bounds.RetryBudgetRatio}}|0.2|" \
+    -e "s|{{Platform.Address}}|127.0.0.1:$STORE|; s|{{Bounds.Grace}}|6s|; s|{{Bounds.RetryBudgetRatio}}|0.2|; s|{{Limits.CpuShare}}|0.2|" \
     -e "s|{{Bounds.RetryBudgetSlack}}|56|; s|{{Bounds.BudgetWindow}}|10s|; s|{{Bootstrap}}|${BOOTSTRAP:-true}|" \
     deploy/settings.yaml >"$DIR/inst-$1.yaml"
 }
