Tell only the own failure domain that no registration changed

Ruled out: changes too within the domain only: a domain that is cut from the store hears of them from others. Change: news without changes go to the own domain; changes go to all and reach back to the last ones told to all, so that no daemon takes the silence for a gap.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -144,8 +144,9 @@
   GHashTable *own_claims;  /* claim -> OwnClaim, while it has not been read back */
   GHashTable *origins;     /* origin of asks -> GsPeerAddress */
   GsRegistry *registry;
-  int64_t news_us; /* last news of the registry */
-  uint64_t origin; /* names this daemon in asks */
+  int64_t news_us;   /* last news of the registry */
+  uint64_t told_all; /* position of registrations up to which all daemons were told from here */
+  uint64_t origin;   /* names this daemon in asks */
   uint64_t next_ask;
   uint32_t n_asking;
   GsCrashes *crashes;
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -652,21 +652,31 @@
   pump (core, state);
 }
 
-/* Tells all other daemons what was read here. */
+/*
+ * Tells what was read here: changes all other daemons, and that there was none those of this
+ * failure domain, since each domain has a reader. Changes reach back to the last ones told to all.
+ */
 static void
 spread_news (GsCore *core, const GsRegistryNews *news)
 {
+  bool all = news->all || news->n_changes > 0;
   uint32_t count = gs_members_count (core->members);
   GsEffect *effect = core_add_effect (core, GS_EFFECT_NEWS);
 
   effect->news.news = *news;
+  if (all)
+    {
+      effect->news.news.from = MIN (news->from, core->told_all);
+      core->told_all = news->to;
+    }
   effect->news.news.changes = g_memdup2 (news->changes, news->n_changes * sizeof *news->changes);
   effect->news.recipients = g_new (GsPeerAddress, count);
   effect->news.n_recipients = 0;
   for (uint32_t i = 1; i < count; i++)
     {
       const GsMemberFact *member = gs_members_get (core->members, i);
-      if (member->state != GS_MEMBER_DEAD)
+      if (member->state != GS_MEMBER_DEAD
+          && (all || strcmp (member->failure_domain, core->options.self.failure_domain) == 0))
         effect->news.recipients[effect->news.n_recipients++] = core_address_of (member);
     }
 }
--- a/test/unit/test_placing.c
+++ b/test/unit/test_placing.c
@@ -601,6 +601,41 @@
 }
 END_TEST
 
+/* Posts at daemon 0 what it has read itself. RETURN VALUE: the news that it tells. */
+static GsEffect *
+read_news (Fleet *fleet, uint64_t from, uint64_t to, const GsRegistryChange *change)
+{
+  GsEvent event = { .kind = GS_EVENT_REGISTRY,
+                    .registry.news = { .from = from,
+                                       .to = to,
+                                       .own = true,
+                                       .store = { .settled_us = INT64_MAX },
+                                       .changes = change,
+                                       .n_changes = change != NULL ? 1 : 0 } };
+
+  post (fleet, 0, &event);
+  return take_effect (fleet, GS_EFFECT_NEWS, NULL);
+}
+
+/* Each failure domain has a reader: only changes cross, and they reach back to the last ones. */
+START_TEST (news_without_changes_stay_in_their_domain)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  GsRegistryChange change = { .offset = 40, .registration.id = "u0" };
+  GsEffect *effect;
+
+  effect = read_news (fleet, 11, 30, &change);
+  ck_assert_uint_eq (effect->news.n_recipients, FLEET - 1);
+  effect = read_news (fleet, 30, 40, NULL);
+  ck_assert_uint_eq (effect->news.n_recipients, 0); /* each of the fleet has its own domain */
+  change.offset = 45;
+  effect = read_news (fleet, 40, 50, &change);
+  ck_assert_uint_eq (effect->news.n_recipients, FLEET - 1);
+  ck_assert_uint_eq (effect->news.news.from, 30);
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (callers_are_named_daemons_of_their_failure_domain)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
@@ -666,5 +701,6 @@
               &a_stopping_daemon_breaks_nothing_off,
               &leaving_upstreams_get_no_request_once_it_is_known,
               &missed_registrations_are_pulled,
+              &news_without_changes_stay_in_their_domain,
               &callers_are_named_daemons_of_their_failure_domain,
               &a_part_without_room_refuses_and_moves_nothing)
