Write log lines from the event loop

Cause: the writer's thread was the one that a daemon had beyond loop, ZeroMQ and administration. Change: lines wait in memory and are written every 20 ms, as far as the reader takes them at once.

--- a/src/gentian/log/log.c
+++ b/src/gentian/log/log.c
@@ -1,7 +1,10 @@
 #include "log.h"
 
 #include <errno.h>
+#include <ev.h>
 #include <glib.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,18 +15,20 @@
 
 enum
 {
-  LOG_FACILITY = 16,     /* local0 */
-  LOG_LINES_MAX = 4096,  /* lines that wait to be written */
-  LOG_LINES_PER_S = 400, /* of the levels info and debug */
+  LOG_FACILITY = 16,           /* local0 */
+  LOG_BYTES_MAX = 1024 * 1024, /* that wait to be written */
+  LOG_LINES_PER_S = 400,       /* of the levels info and debug */
   LOG_BURST_LINES = 800,
   LOG_LINE_BYTES_MAX = 1024,
+  LOG_FLUSH_POLL_MS = 20,
 };
 
 /** Time that the last lines get at the end of the process. */
 #define LOG_FLUSH_US (200 * G_TIME_SPAN_MILLISECOND)
 /** Lines are written together that come within this time: a wake-up costs more than a line. */
-#define LOG_BATCH_US (20 * G_TIME_SPAN_MILLISECOND)
-#define LOG_FLUSH_POLL_US (2 * G_TIME_SPAN_MILLISECOND)
+#define LOG_BATCH_S 0.02
+/** Pause while the reader of the lines has fallen behind. */
+#define LOG_BEHIND_S 0.1
 
 typedef struct
 {
@@ -42,12 +47,16 @@
 static char log_instance[64] = "-";
 static GsLevel log_level = GS_LEVEL_INFO;
 
-/* Lines wait here for a thread of their own, so that a reader who stops reading blocks nobody. */
-static GAsyncQueue *log_lines;
-static GMutex log_lock; /* over the rate */
+/* Lines wait here for the event loop, which writes only what the reader takes at once. */
+static GMutex log_lock; /* over all that follows */
+static GString *log_waiting;
 static double log_tokens = LOG_BURST_LINES;
 static int64_t log_earned_us;
-static gint log_dropped;
+static uint32_t log_dropped;
+static struct ev_loop *log_loop; /* NULL: lines are written where they are made */
+static GThread *log_owner;       /* runs the loop */
+static ev_async log_wake;
+static ev_timer log_batch;
 
 void
 gs_log_init (const char *program, const char *instance, GsLevel level)
@@ -121,40 +130,71 @@
     }
 }
 
+/* Adds a line on those that were dropped. */
 static void
 report_dropped (void)
 {
-  gint dropped = g_atomic_int_and ((guint *)&log_dropped, 0);
   g_autofree char *fields = NULL;
   g_autofree char *line = NULL;
 
-  if (dropped == 0)
+  if (log_dropped == 0)
     return;
-  gs_counter_add (GS_COUNTER_LOG_LINES_DROPPED, (uint64_t)dropped);
-  fields = g_strdup_printf ("lines=%d", dropped);
+  gs_counter_add (GS_COUNTER_LOG_LINES_DROPPED, log_dropped);
+  fields = g_strdup_printf ("lines=%u", log_dropped);
   line = format_line (find_event (GS_NOTICE_LINES_DROPPED), fields);
-  write_line (STDOUT_FILENO, line);
+  log_dropped = 0;
+  g_string_append (log_waiting, line);
 }
 
-static gpointer
-write_lines (gpointer data)
+/* Writes what can be written without waiting longer than WAIT_MS. A pipe that is ready takes
+ * PIPE_BUF bytes whole. */
+static void
+write_waiting (int wait_ms)
 {
-  GAsyncQueue *lines = data;
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
 
-  for (;;)
+  while (log_waiting->len > 0 && poll (&out, 1, wait_ms) > 0)
     {
-      g_autoptr (GString) batch = g_string_new (NULL);
-      char *line = g_async_queue_pop (lines);
-      g_usleep (LOG_BATCH_US);
-      for (; line != NULL; line = g_async_queue_try_pop (lines))
-        {
-          g_string_append (batch, line);
-          g_free (line);
-        }
-      write_line (STDOUT_FILENO, batch->str);
-      report_dropped ();
+      ssize_t written = write (STDOUT_FILENO, log_waiting->str, MIN (log_waiting->len, PIPE_BUF));
+      if (written < 0 && errno == EINTR)
+        continue;
+      if (written <= 0)
+        g_string_truncate (log_waiting, 0); /* nobody reads any more */
+      else
+        g_string_erase (log_waiting, 0, written);
     }
-  return NULL;
+}
+
+static void
+start_batch (double after_s)
+{
+  if (ev_is_active (&log_batch))
+    return;
+  ev_timer_set (&log_batch, after_s, 0.);
+  ev_timer_start (log_loop, &log_batch);
+}
+
+static void
+on_wake (struct ev_loop *loop, ev_async *watcher, int revents)
+{
+  (void)loop;
+  (void)watcher;
+  (void)revents;
+  start_batch (LOG_BATCH_S);
+}
+
+static void
+on_batch (struct ev_loop *loop, ev_timer *watcher, int revents)
+{
+  (void)loop;
+  (void)watcher;
+  (void)revents;
+  g_mutex_lock (&log_lock);
+  report_dropped ();
+  write_waiting (0);
+  if (log_waiting->len > 0)
+    start_batch (LOG_BEHIND_S);
+  g_mutex_unlock (&log_lock);
 }
 
 /* Lines of requests are bounded by a rate; graver ones always go. */
@@ -164,18 +204,40 @@
   int64_t now_us = g_get_monotonic_time ();
   bool allowed;
 
+  if (log_waiting->len > LOG_BYTES_MAX)
+    return false;
   if (event->level <= GS_LEVEL_NOTICE)
     return true;
-  g_mutex_lock (&log_lock);
   log_tokens += (double)(now_us - log_earned_us) / G_USEC_PER_SEC * LOG_LINES_PER_S;
   log_tokens = MIN (log_tokens, LOG_BURST_LINES);
   log_earned_us = now_us;
   allowed = log_tokens >= 1;
   log_tokens -= allowed ? 1 : 0;
-  g_mutex_unlock (&log_lock);
   return allowed;
 }
 
+/* Puts a line in the row for the loop. */
+static void
+queue_line (const LogEvent *event, const char *fields)
+{
+  bool first;
+
+  g_mutex_lock (&log_lock);
+  first = log_waiting->len == 0 && log_dropped == 0;
+  if (may_log (event))
+    {
+      g_autofree char *line = format_line (event, fields);
+      g_string_append (log_waiting, line);
+    }
+  else
+    log_dropped++;
+  g_mutex_unlock (&log_lock);
+  if (first && g_thread_self () == log_owner)
+    start_batch (LOG_BATCH_S);
+  else if (first)
+    ev_async_send (log_loop, &log_wake);
+}
+
 void
 gs_log_fields (GsNotice number, const char *fields)
 {
@@ -183,24 +245,26 @@
 
   if (event == NULL || event->level > log_level)
     return;
-  if (log_lines == NULL || number == GS_NOTICE_START_FAILED)
+  if (log_loop == NULL || number == GS_NOTICE_START_FAILED)
     {
       /* whoever started the daemon by hand looks at standard error */
       g_autofree char *line = format_line (event, fields);
       write_line (number == GS_NOTICE_START_FAILED ? STDERR_FILENO : STDOUT_FILENO, line);
     }
-  else if (may_log (event) && g_async_queue_length (log_lines) < LOG_LINES_MAX)
-    g_async_queue_push (log_lines, format_line (event, fields));
   else
-    g_atomic_int_inc (&log_dropped);
+    queue_line (event, fields);
 }
 
 void
-gs_log_start (void)
+gs_log_start (struct ev_loop *loop)
 {
-  log_lines = g_async_queue_new ();
+  log_waiting = g_string_new (NULL);
   log_earned_us = g_get_monotonic_time ();
-  g_thread_unref (g_thread_new ("log", write_lines, log_lines));
+  log_owner = g_thread_self ();
+  ev_async_init (&log_wake, on_wake);
+  ev_timer_init (&log_batch, on_batch, 0., 0.);
+  ev_async_start (loop, &log_wake);
+  log_loop = loop;
 }
 
 void
@@ -208,9 +272,13 @@
 {
   int64_t until_us = g_get_monotonic_time () + LOG_FLUSH_US;
 
-  while (log_lines != NULL && g_async_queue_length (log_lines) >= 0
-         && g_get_monotonic_time () < until_us)
-    g_usleep (LOG_FLUSH_POLL_US);
+  if (log_loop == NULL)
+    return;
+  g_mutex_lock (&log_lock);
+  report_dropped ();
+  while (log_waiting->len > 0 && g_get_monotonic_time () < until_us)
+    write_waiting (LOG_FLUSH_POLL_MS);
+  g_mutex_unlock (&log_lock);
 }
 
 void
--- a/src/gentian/log/log.h
+++ b/src/gentian/log/log.h
@@ -11,6 +11,7 @@
 
 #include "../core/notice.h"
 
+#include <ev.h>
 #include <stdbool.h>
 
 /** Names this process in all lines and sets the gravest level that is left out to LEVEL + 1. */
@@ -28,9 +29,9 @@
 /** RETURN VALUE: static name of event NUMBER, or NULL. */
 const char *gs_log_name (GsNotice number);
 
-/** Writes lines from a thread of its own from now on: bounded in number and rate, never blocking.
- */
-void gs_log_start (void);
+/** Writes lines from LOOP, which this thread runs, from now on: bounded in bytes and rate, never
+ * blocking. */
+void gs_log_start (struct ev_loop *loop);
 
 /** Gives waiting lines a moment to be written, before the process ends. */
 void gs_log_flush (void);
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -278,10 +278,10 @@
 }
 
 static int
-run (const GsSettings *settings)
+run (const GsSettings *settings, struct ev_loop *loop)
 {
   g_autoptr (GError) error = NULL;
-  Services services = { .loop = ev_loop_new (EVBACKEND_EPOLL | EVFLAG_NOENV) };
+  Services services = { .loop = loop };
   uint32_t cut;
 
   if (!start_services (&services, settings, &error))
@@ -301,7 +301,6 @@
   if (cut > 0 || is_native (settings))
     return cut > 0 ? EXIT_CUT : EXIT_SUCCESS; /* the process ends; nothing waits for its threads */
   end_services (&services);
-  ev_loop_destroy (services.loop);
   return EXIT_SUCCESS;
 }
 
@@ -311,6 +310,7 @@
   Arguments arguments = { 0 };
   g_autoptr (GError) error = NULL;
   GsSettings *settings;
+  struct ev_loop *loop;
   int status;
 
   mallopt (M_ARENA_MAX, MALLOC_ARENAS);
@@ -330,8 +330,9 @@
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
     return EXIT_START;
   signal (SIGPIPE, SIG_IGN);
-  gs_log_start ();
-  status = arguments.check_only ? EXIT_SUCCESS : run (settings);
+  loop = ev_loop_new (EVBACKEND_EPOLL | EVFLAG_NOENV);
+  gs_log_start (loop);
+  status = arguments.check_only ? EXIT_SUCCESS : run (settings, loop);
   gs_log_flush ();
   gs_settings_free (settings);
   return status;
