Keep the repeats of a pool within its budget while several homes place

Requests asked at two homes counted at both. The log says which daemon placed. That homes answer late is open.

--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -170,6 +170,12 @@
   g_free (placer);
 }
 
+void
+gs_placer_set_slack (GsPlacer *placer, uint32_t slack)
+{
+  placer->repeats.budget.slack = slack;
+}
+
 void
 gs_placer_begin_update (GsPlacer *placer)
 {
@@ -267,6 +273,8 @@
 {
   Grant *grant = g_new0 (Grant, 1);
 
+  if (!ask->again) /* an ask may come here and to another home, its grant counts at one */
+    gs_repeats_note (&placer->repeats, now_us);
   *grant = (Grant){ .id = reply->grant,
                     .ask = ask_key (ask->origin, ask->token),
                     .reply = *reply,
@@ -563,7 +571,6 @@
 {
   double passed_s = (double)(now_us - placer->arrivals_us) / (double)GS_US_PER_S;
 
-  gs_repeats_note (&placer->repeats, now_us);
   placer->arrivals = placer->arrivals * exp (-passed_s / PLACER_ARRIVALS_S) + 1;
   placer->arrivals_us = now_us;
 }
--- a/src/gentian/core/placer.h
+++ b/src/gentian/core/placer.h
@@ -139,6 +139,10 @@
 GsPlacer *gs_placer_new (const GsPlacerOptions *options);
 void gs_placer_free (GsPlacer *placer);
 
+/** Sets the repeats that this placer may allow beyond the share of its requests: what all placers
+ * of the pool may allow together is one slack. */
+void gs_placer_set_slack (GsPlacer *placer, uint32_t slack);
+
 /** Begins an update of the upstreams; those not set before gs_placer_end_update are dropped. */
 void gs_placer_begin_update (GsPlacer *placer);
 void gs_placer_set_upstream (GsPlacer *placer,
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -9,7 +9,8 @@
   PLACING_STATUS_UNAVAILABLE = 503,
   PLACING_STATUS_BAD_GATEWAY = 502,
   PLACING_STATUS_TIMEOUT = 504,
-  PLACING_RETRY_MS = 150, /* return of a refused request that has no better time */
+  PLACING_SECOND_SLACK = 4, /* part of the slack that the second home has: a fourth */
+  PLACING_RETRY_MS = 150,   /* return of a refused request that has no better time */
 };
 
 /** Wait for the reply to an ask: a round trip between failure domains takes some ms, and a slow
@@ -61,6 +62,21 @@
   gs_placer_end_update (state->placer, core->now_us);
 }
 
+/*
+ * This daemon's part of the pool's slack. The first two homes know each other's repeats by the ends
+ * that they are told; others place only what they cannot ask a home for.
+ */
+static uint32_t
+slack_of (GsCore *core, PoolState *state)
+{
+  uint32_t slack = core->options.repeats.slack;
+
+  core_refresh_homes (core, state);
+  if (state->n_homes == 0 || state->homes[0] == 0)
+    return slack;
+  return state->n_homes > 1 && state->homes[1] == 0 ? slack / PLACING_SECOND_SLACK : 0;
+}
+
 /* The pool's placer at this daemon, which has it from now on. */
 static GsPlacer *
 placer_of (GsCore *core, PoolState *state)
@@ -74,6 +90,7 @@
       state->placer = gs_placer_new (&options);
       state->registry_epoch = UINT64_MAX;
     }
+  gs_placer_set_slack (state->placer, slack_of (core, state));
   update_placer (core, state);
   return state->placer;
 }
@@ -296,6 +313,7 @@
 static void
 start_placed (GsCore *core, Request *request, const GsPlaceReply *reply, const GsPeerAddress *from)
 {
+  const GsMemberFact *placer = asked_member (core, request);
   Attempt *attempt;
   GsAttemptEffect *effect;
 
@@ -320,10 +338,11 @@
   core_notice (core, GS_NOTICE_PLACED,
                "request=%" G_GUINT64_FORMAT
                " id=%s pool=%s chose=%s reason=%s failing_ppm=%u evidence_age_ms=%u outstanding=%u "
-               "attempt=%u waited_us=%" G_GINT64_FORMAT " asked_us=%" G_GINT64_FORMAT,
+               "placer=%s attempt=%u waited_us=%" G_GINT64_FORMAT " asked_us=%" G_GINT64_FORMAT,
                request->id, request->label, request->pool->name, reply->upstream_id, reply->reason,
-               reply->failing_ppm, reply->evidence_age_ms, reply->outstanding, request->n_attempts,
-               reply->waited_us, core->now_us - request->arrived_us);
+               reply->failing_ppm, reply->evidence_age_ms, reply->outstanding,
+               placer != NULL ? placer->id : "here", request->n_attempts, reply->waited_us,
+               core->now_us - request->arrived_us);
 }
 
 /* Ends a request for which there is no further attempt, with what is known of it. */
