--- a/test/functional/test_native.sh
+++ b/test/functional/test_native.sh
@@ -58,6 +58,13 @@
 good=0; for i in $(seq 6); do served $((i % N + 1)) /o/1 && good=$((good + 1)); done
 equal "a server whose address is another's is passed over" "$good" 6
 
+# daemons 1 and 4 share a failure domain, so one of them reads no store
+threads () { eval "ls /proc/\$PID_inst_$1/task | wc -l"; }
+clients=(); for i in $(seq 40); do native_request $((i % 2 * 3 + 1)) "c$i" /s/1 >/dev/null & clients+=($!); done
+few=$(threads 1); other=$(threads 4); [ "$other" -lt "$few" ] && few=$other
+wait "${clients[@]}"
+at_most "threads of a daemon with 20 connections" "$few" 4
+
 store_control away=1
 sleep 3
 check "requests are served while the store is away" all_serve /o/1
