--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -32,6 +32,9 @@
 #define STOP_POLL_S 0.05
 /** Time for which answers to the address question may be on their way or just received. */
 #define STOP_MARGIN_US (1 * G_USEC_PER_SEC)
+/** Requests are taken for no longer than this after the signal: one that comes later must be given
+ * its whole time, which may reach beyond the limit. */
+#define STOP_ACCEPT_US (2800 * G_TIME_SPAN_MILLISECOND)
 /** Quiet time after which no request is expected on connections that callers kept. */
 #define STOP_QUIET_US (500 * G_TIME_SPAN_MILLISECOND)
 /** Left of the limit for the process to end by itself. */
@@ -233,7 +236,7 @@
   stop->limit_us = now_us + stop_limit_us (settings);
   stop->busy_us
       = now_us + (int64_t)settings->entries_life_ms * G_TIME_SPAN_MILLISECOND + STOP_MARGIN_US;
-  stop->refuse_us = now_us + stop_limit_us (settings) / STOP_ACCEPT_PART;
+  stop->refuse_us = now_us + MIN (stop_limit_us (settings) / STOP_ACCEPT_PART, STOP_ACCEPT_US);
   stop->seen = gs_counter_value (GS_COUNTER_REQUESTS);
   gs_engine_stop (stop->services->engine);
   ev_timer_start (loop, &stop->poll);
--- a/test/functional/test_native.sh
+++ b/test/functional/test_native.sh
@@ -89,6 +89,18 @@
 wait_for 7 bash -c "! kill -0 $(pid_of inst-3)"
 check "it ends within 6 s" bash -c "! kill -0 $(pid_of inst-3)"
 
+# with a long limit, a request that comes late may need more time than is left
+write_native 5 d1; sed -i 's/^stop_limit:.*/stop_limit: 10s/' "$DIR/inst-5.yaml"
+"$BIN/gentianscaled" --settings "$DIR/inst-5.yaml" >>"$DIR/inst-5.log" 2>&1 & note_pid inst-5 $!
+wait_for 10 served 5 /s/1
+kill -TERM "$(pid_of inst-5)"; term=$(date +%s%3N); early=0 late=0
+while [ $(($(date +%s%3N) - term)) -lt 4000 ]; do
+  at=$(($(date +%s%3N) - term)); if served 5 /s/1; then if [ $at -lt 2500 ]; then early=$((early + 1)); elif [ $at -gt 3000 ]; then late=$((late + 1)); fi; fi
+  sleep 0.1
+done
+check "a daemon that stops still serves for a moment" test "$early" -ge 5
+equal "and takes no request later than 3 s" "$late" 0
+
 put_config 12 ",{\"Name\":\"new\",\"Host\":\"h.example\",\"PathPrefix\":\"/n/\",\"Kind\":\"safe\",\"Timeout\":\"3s\",\"TargetLatency\":\"1s\",\"Priority\":2,\"Service\":\"stock\",\"MaxAttempts\":2}"
 for ((i = 1; i <= N; i++)); do kill -KILL "$(pid_of inst-$i)" 2>/dev/null; wait "$(pid_of inst-$i)" 2>/dev/null; done
 sleep 0.3
