--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -119,8 +119,8 @@
 /** Sets the log position that rides on messages. */
 void gs_members_set_position (GsMembers *members, uint64_t position);
 
-/** RETURN VALUE: the position and address of the most advanced daemon, of equals the one heard last,
- * since the first may be gone; 0 if none is ahead. */
+/** RETURN VALUE: the position and address of the most advanced daemon, of equals the one heard
+ * last, since the first may be gone; 0 if none is ahead. */
 uint64_t gs_members_best_position (const GsMembers *members, GsPeerAddress *address);
 
 /** RETURN VALUE: true when there are members, but nothing was heard of any lately. */
