--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -33,7 +33,7 @@
 #define LAB_NEAR_US 150
 #define LAB_FAR_US 1200
 #define LAB_CALLER_US 2000
-/** Period at which a daemon's edge looks for a grant while an attempt is late. */
+/** Time until a daemon has ended a late attempt for which another one was granted. */
 #define LAB_LATE_US (40 * GS_US_PER_MS)
 /** Time after which the edge tells again that an attempt is late. */
 #define LAB_LATE_AGAIN_US (500 * GS_US_PER_MS)
