Log the accounts of a reached budget of repeats, and whether an asker was held up itself

The log could not tell which placer's count let repeats through, nor whether a home or its asker was late. GS3108 tells both accounts of a placer that refuses a repeat, GS2108 whether an attempt is a repeat, GS2109 the time between the asker's last two ticks. No decision changes: the budget still sums both accounts.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -149,6 +149,8 @@
   uint64_t origin;   /* names this daemon in asks */
   uint64_t next_ask;
   uint32_t n_asking;
+  int64_t ticked_us;   /* last tick */
+  int64_t tick_gap_us; /* between the last two ticks: long when this daemon was held up */
   GsCrashes *crashes;
   GsTickets *tickets;
   GsClaims *claims[GS_CLAIM_PARTITIONS]; /* NULL until needed */
--- a/src/gentian/core/notice.h
+++ b/src/gentian/core/notice.h
@@ -41,6 +41,7 @@
   X (LATE_KEPT, 2110, GS_LEVEL_INFO, "late-attempt-kept")                                          \
   X (BELIEF_CHANGED, 3105, GS_LEVEL_NOTICE, "upstream-belief-changed")                             \
   X (REGISTRATION_CHANGED, 3106, GS_LEVEL_NOTICE, "registration-changed")                          \
+  X (BUDGET_REACHED, 3108, GS_LEVEL_NOTICE, "repeat-budget-reached")                               \
   X (REGISTRATION_REFUSED, 3107, GS_LEVEL_WARNING, "registration-refused")                         \
   X (UPSTREAM_CHANGED, 3101, GS_LEVEL_NOTICE, "upstream-state-changed")                            \
   X (CRASH_SUSPECTED, 3102, GS_LEVEL_WARNING, "crash-suspected")                                   \
--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -47,6 +47,8 @@
 #define PLACER_STUCK_FACTOR 2
 /** Durations are unknown at the start: then an attempt may take this part of the time left. */
 #define PLACER_ATTEMPT_SHARE 0.6
+/** Shortest time between two reports that the budget of repeats is used up. */
+#define PLACER_BUDGET_TOLD_US GS_US_PER_S
 /** Spread of the times at which refused requests return, as part of the wait. */
 #define PLACER_RETRY_SPREAD 0.6
 
@@ -90,6 +92,8 @@
   GsSlots *slots;
   GsDurations durations;
   GsRepeats repeats;
+  bool budget_reached; /* a repeat was refused since the budget was reported */
+  int64_t budget_told_us;
   GsCrashes *lost;    /* fingerprints of lost connections */
   GsCrashes *crashed; /* fingerprints of upstreams found down after */
   GPtrArray *waiting; /* of Waiting, by priority and arrival */
@@ -562,7 +566,10 @@
   if (ask->running != 0 && !is_stuck (placer, ask->running, now_us))
     return "attempt-may-finish";
   if (ask->again && !gs_repeats_spend (&placer->repeats, now_us))
-    return "repeat-budget";
+    {
+      placer->budget_reached = true;
+      return "repeat-budget";
+    }
   return NULL;
 }
 
@@ -713,10 +720,7 @@
 {
   if (end->outcome == GS_OUTCOME_CANCELLED || end->outcome == GS_OUTCOME_UNREACHABLE)
     return;
-  if (end->again)
-    gs_repeats_note_again (&placer->repeats, now_us);
-  else
-    gs_repeats_note (&placer->repeats, now_us);
+  gs_repeats_note_told (&placer->repeats, end->again, now_us);
 }
 
 static void
@@ -796,6 +800,20 @@
   return true;
 }
 
+bool
+gs_placer_next_budget (GsPlacer *placer, int64_t now_us, GsRepeatsView *view)
+{
+  if (!placer->budget_reached || now_us - placer->budget_told_us < PLACER_BUDGET_TOLD_US)
+    return false;
+  placer->budget_reached = false;
+  placer->budget_told_us = now_us;
+  gs_repeats_turn (&placer->repeats, now_us);
+  *view = (GsRepeatsView){ .own = gs_repeats_sum (&placer->repeats, &placer->repeats.own),
+                           .told = gs_repeats_sum (&placer->repeats, &placer->repeats.told),
+                           .slack = placer->repeats.budget.slack };
+  return true;
+}
+
 uint32_t
 gs_placer_waiting (const GsPlacer *placer)
 {
--- a/src/gentian/core/placer.h
+++ b/src/gentian/core/placer.h
@@ -123,6 +123,14 @@
   bool by_age;       /**< a running attempt decided by its age */
 } GsBeliefChange;
 
+/** The accounts of a budget that refused a repeat. */
+typedef struct
+{
+  GsRepeatsSum own;  /**< granted here */
+  GsRepeatsSum told; /**< granted by other placers */
+  uint32_t slack;    /**< this placer's */
+} GsRepeatsView;
+
 /** State of one upstream, for log lines and the administration API. */
 typedef struct
 {
@@ -167,6 +175,10 @@
 /** RETURN VALUE: true and CHANGE, or false when all changes were taken. */
 bool gs_placer_next_change (GsPlacer *placer, GsBeliefChange *change);
 
+/** RETURN VALUE: true and VIEW when repeats were refused for want of budget; once a second at most.
+ */
+bool gs_placer_next_budget (GsPlacer *placer, int64_t now_us, GsRepeatsView *view);
+
 /** RETURN VALUE: asks that wait, and grants that have not ended. */
 uint32_t gs_placer_waiting (const GsPlacer *placer);
 uint32_t gs_placer_outstanding (const GsPlacer *placer);
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -107,6 +107,20 @@
                  gs_outcome_name (change.outcome), change.by_age ? "age" : "end");
 }
 
+static void
+report_budget (GsCore *core, PoolState *state)
+{
+  GsRepeatsView view;
+
+  if (gs_placer_next_budget (state->placer, core->now_us, &view))
+    core_notice (core, GS_NOTICE_BUDGET_REACHED,
+                 "pool=%s first_home=%s requests=%u repeats=%u told_requests=%u told_repeats=%u "
+                 "slack=%u",
+                 state->name, state->n_homes == 0 || state->homes[0] == 0 ? "yes" : "no",
+                 view.own.requests, view.own.repeats, view.told.requests, view.told.repeats,
+                 view.slack);
+}
+
 /* Hands out the replies that the placer has decided. */
 static void
 pump (GsCore *core, PoolState *state)
@@ -115,6 +129,7 @@
   GsPlaceReply reply;
 
   report_changes (core, state);
+  report_budget (core, state);
   while (gs_placer_next (state->placer, &reply))
     {
       const GsPeerAddress *to = g_hash_table_lookup (core->origins, &reply.origin);
@@ -338,11 +353,12 @@
   core_notice (core, GS_NOTICE_PLACED,
                "request=%" G_GUINT64_FORMAT
                " id=%s pool=%s chose=%s reason=%s failing_ppm=%u evidence_age_ms=%u outstanding=%u "
-               "placer=%s attempt=%u waited_us=%" G_GINT64_FORMAT " asked_us=%" G_GINT64_FORMAT,
+               "placer=%s attempt=%u again=%s waited_us=%" G_GINT64_FORMAT
+               " asked_us=%" G_GINT64_FORMAT,
                request->id, request->label, request->pool->name, reply->upstream_id, reply->reason,
                reply->failing_ppm, reply->evidence_age_ms, reply->outstanding,
-               placer != NULL ? placer->id : "here", request->n_attempts, reply->waited_us,
-               core->now_us - request->arrived_us);
+               placer != NULL ? placer->id : "here", request->n_attempts,
+               attempt->again ? "yes" : "no", reply->waited_us, core->now_us - request->arrived_us);
 }
 
 /* Ends a request for which there is no further attempt, with what is known of it. */
@@ -413,8 +429,9 @@
   const GsMemberFact *placer = asked_member (core, request);
 
   core_notice (core, GS_NOTICE_PLACER_SILENT,
-               "request=%" G_GUINT64_FORMAT " id=%s pool=%s asked=%s", request->id, request->label,
-               request->pool->name, placer != NULL ? placer->id : "-");
+               "request=%" G_GUINT64_FORMAT " id=%s pool=%s asked=%s tick_gap_us=%" G_GINT64_FORMAT,
+               request->id, request->label, request->pool->name, placer != NULL ? placer->id : "-",
+               core->tick_gap_us);
   placing_cancel (core, request);
   if (placer != NULL)
     gs_members_note_path (core->members, placer->id, false, core->now_us);
@@ -771,6 +788,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  core->tick_gap_us = core->now_us - core->ticked_us;
+  core->ticked_us = core->now_us;
   if (gs_registry_tick (core->registry, core->now_us))
     update_placers (core);
   g_hash_table_iter_init (&iter, core->pools);
