--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -10,12 +10,15 @@
 {
   LAB_TRIES_MAX = 4, /* of one caller's request */
   LAB_WINDOW_S = 10,
+  LAB_REPEAT_SHARE_PPM = 200000,
+  LAB_REPEAT_SLACK = 56,
 };
 
 enum
 {
   LAB_BINS = 256, /* of a run, for what is judged by spans */
   LAB_SPAN_BINS = 8,
+  LAB_WINDOW_BINS = 40,
 };
 
 /** Length of a bin: a span of 2 s has eight. */
@@ -150,6 +153,8 @@
   GPtrArray *works;
   uint64_t news_position;
   uint32_t repeats_at[LAB_POOLS_MAX][512];
+  uint32_t repeats_in[LAB_POOLS_MAX][LAB_BINS];
+  uint32_t requests_in[LAB_POOLS_MAX][LAB_BINS];
   int64_t cpu_ns;
 } Lab;
 
@@ -249,7 +254,8 @@
 static bool
 concerns (const LabFault *fault, uint32_t pool, uint32_t upstream)
 {
-  return fault->kind != LAB_FAULT_KILL && fault->kind != LAB_FAULT_BURST && fault->pool == pool
+  return fault->kind != LAB_FAULT_KILL && fault->kind != LAB_FAULT_BURST
+         && fault->kind != LAB_FAULT_START && fault->kind != LAB_FAULT_DEAF && fault->pool == pool
          && upstream >= fault->first && upstream < (uint32_t)fault->first + fault->count;
 }
 
@@ -307,11 +313,31 @@
       = g_memdup2 (effect->probe.facts, effect->probe.n_facts * sizeof *effect->probe.facts);
 }
 
+/* Whether two daemons lose what they tell each other of slots. */
+static bool
+are_deaf (const Lab *lab, uint32_t a, uint32_t b)
+{
+  GsRandom pair = { .state = gs_mix64 (lab->options->seed + MIN (a, b) * 1000 + MAX (a, b)) };
+  double place = gs_random_unit (&pair);
+
+  for (uint32_t i = 0; i < lab->options->n_faults; i++)
+    {
+      const LabFault *fault = &lab->options->faults[i];
+      if (fault->kind == LAB_FAULT_DEAF && is_active (lab, fault) && place < fault->x)
+        return true;
+    }
+  return false;
+}
+
 static void
 send_placing (Lab *lab, uint32_t from, const GsEffect *effect)
 {
-  Happening *entry = deliver (lab, from, &effect->to);
+  int target = find_daemon (lab, effect->to.ipv4);
+  Happening *entry;
 
+  if (target < 0 || are_deaf (lab, from, (uint32_t)target))
+    return;
+  entry = deliver (lab, from, &effect->to);
   if (entry == NULL)
     return;
   switch (effect->kind)
@@ -542,10 +568,10 @@
 start_daemon (Lab *lab, uint32_t index)
 {
   Daemon *self = &lab->daemons[index];
-  GsCoreOptions options
-      = { .seed = gs_random_next (&lab->random),
-          .repeats
-          = { .share_ppm = 200000, .slack = 56, .window_us = LAB_WINDOW_S * GS_US_PER_S } };
+  GsCoreOptions options = { .seed = gs_random_next (&lab->random),
+                            .repeats = { .share_ppm = LAB_REPEAT_SHARE_PPM,
+                                         .slack = LAB_REPEAT_SLACK,
+                                         .window_us = LAB_WINDOW_S * GS_US_PER_S } };
   GsCopyEntry entry = { .workspace = "w", .text = "-", .revision = 1 };
   GsDocument *document = make_tables (lab->options);
   GsEvent copy = {
@@ -655,6 +681,17 @@
     plan_arrival (lab, kind);
 }
 
+static int bin_at (int64_t at_us);
+
+static uint32_t
+pool_of_call (const Lab *lab, const Call *call)
+{
+  for (uint32_t pool = 0; pool < lab->options->n_pools; pool++)
+    if (strcmp (lab->options->pools[pool].name, call->kind->pool) == 0)
+      return pool;
+  return 0;
+}
+
 /* A daemon that the caller would be named: alive, of its domain if there is one. */
 static int
 pick_daemon (Lab *lab, const Call *call)
@@ -692,6 +729,7 @@
       return;
     }
   call->tries++;
+  lab->requests_in[pool_of_call (lab, call)][bin_at (lab->now_us)]++;
   request = g_new (uint64_t, 1);
   *request = ++lab->daemons[daemon].next_request;
   g_hash_table_insert (lab->daemons[daemon].calls, request, call);
@@ -741,6 +779,7 @@
     {
       lab->result.repeats++;
       lab->repeats_at[work->pool][MIN (second, 511)]++;
+      lab->repeats_in[work->pool][bin_at (lab->now_us)]++;
     }
   for (uint32_t i = 0; i < lab->options->n_faults; i++)
     if (concerns (&lab->options->faults[i], work->pool, work->upstream))
@@ -953,6 +992,30 @@
     }
 }
 
+static bool
+starts_later (const Lab *lab, uint32_t daemon)
+{
+  for (uint32_t i = 0; i < lab->options->n_faults; i++)
+    {
+      const LabFault *fault = &lab->options->faults[i];
+      if (fault->kind == LAB_FAULT_START && daemon >= fault->first
+          && daemon < (uint32_t)fault->first + fault->count && seconds (lab) < fault->from_s)
+        return true;
+    }
+  return false;
+}
+
+static void
+start_daemons (Lab *lab)
+{
+  for (uint32_t d = 0; d < lab->options->n_daemons; d++)
+    if (lab->daemons[d].core == NULL && !starts_later (lab, d))
+      {
+        lab->daemons[d].dead = false;
+        start_daemon (lab, d);
+      }
+}
+
 /* Callers of a dead daemon find its connections closed. */
 static void
 end_orphans (Lab *lab)
@@ -961,7 +1024,7 @@
     {
       GHashTableIter iter;
       gpointer value;
-      if (!lab->daemons[d].dead || lab->daemons[d].life == 1)
+      if (!lab->daemons[d].dead || lab->daemons[d].life == 1 || lab->daemons[d].core == NULL)
         continue;
       lab->daemons[d].life = 1;
       g_hash_table_iter_init (&iter, lab->daemons[d].calls);
@@ -1015,6 +1078,7 @@
       break;
     case AT_NEWS:
       kill_daemons (lab);
+      start_daemons (lab);
       end_orphans (lab);
       tell_news (lab);
       push (lab, lab->now_us + LAB_NEWS_US, AT_NEWS);
@@ -1052,7 +1116,8 @@
         }
     }
   for (uint32_t i = 0; i < options->n_daemons; i++)
-    start_daemon (lab, i);
+    lab->daemons[i].dead = true;
+  start_daemons (lab);
   push (lab, lab->now_us + GS_US_PER_S, AT_NEWS);
   for (uint32_t kind = 0; kind < options->n_kinds; kind++)
     {
@@ -1071,7 +1136,7 @@
         g_free (entry->probe.facts);
       g_free (entry);
     }
-  for (uint32_t i = 0; i < lab->options->n_daemons; i++)
+  for (uint32_t i = 0; i < lab->options->n_daemons && lab->daemons[i].core != NULL; i++)
     {
       gs_core_free (lab->daemons[i].core);
       g_hash_table_destroy (lab->daemons[i].calls);
@@ -1118,6 +1183,35 @@
   result->cpu_us_per_request = (double)lab->cpu_ns / 1000 / MAX (result->all.asked, 1);
 }
 
+static uint32_t
+sum_of_window (const uint32_t *bins, int first)
+{
+  uint32_t sum = 0;
+
+  for (int bin = MAX (first, 0); bin < first + LAB_WINDOW_BINS; bin++)
+    sum += bins[bin];
+  return sum;
+}
+
+/* Holds the repeats of every window against its budget. The requests are those of the window, of
+ * the one before it, or of the one half a window before it, whichever has most. */
+static int32_t
+repeats_over (const Lab *lab, uint32_t pool)
+{
+  int32_t most = INT32_MIN;
+
+  for (int first = 0; first + LAB_WINDOW_BINS <= LAB_BINS; first++)
+    {
+      uint32_t requests = 0;
+      double allowed;
+      for (int back = 0; back <= LAB_WINDOW_BINS; back += LAB_WINDOW_BINS / 2)
+        requests = MAX (requests, sum_of_window (lab->requests_in[pool], first - back));
+      allowed = requests * (LAB_REPEAT_SHARE_PPM / 1e6) + LAB_REPEAT_SLACK;
+      most = MAX (most, (int32_t)sum_of_window (lab->repeats_in[pool], first) - (int32_t)allowed);
+    }
+  return most;
+}
+
 /* Marks the bins in which faults and noise make upstreams unsound, up to now. */
 static void
 note_unsound (Lab *lab)
@@ -1235,8 +1329,12 @@
   for (guint i = 0; i < lab.calls->len; i++)
     finish_call (&lab, g_ptr_array_index (lab.calls, i), false, false);
   lab.result.least_used = 1;
+  lab.result.repeats_over = INT32_MIN;
   for (uint32_t pool = 0; pool < options->n_pools; pool++)
-    count_idle_spans (&lab, pool);
+    {
+      count_idle_spans (&lab, pool);
+      lab.result.repeats_over = MAX (lab.result.repeats_over, repeats_over (&lab, pool));
+    }
   sum_up (&lab);
   clean_up (&lab);
   return lab.result;
--- a/test/lab/lab.h
+++ b/test/lab/lab.h
@@ -74,6 +74,8 @@
   LAB_FAULT_LEAVE,     /**< says that it leaves at `from_s` */
   LAB_FAULT_KILL,      /**< `upstream` is a daemon: it vanishes, and its callers with it */
   LAB_FAULT_BURST,     /**< load times `x`; pool and upstream do not count */
+  LAB_FAULT_START,     /**< `upstream` is a daemon: it starts only at `from_s` */
+  LAB_FAULT_DEAF,      /**< part `x` of the pairs of daemons lose what they tell of slots */
 } LabFaultKind;
 
 typedef struct
@@ -127,6 +129,8 @@
   uint32_t pool_asked[LAB_POOLS_MAX];
   uint32_t used[LAB_FAULTS_MAX]; /**< attempts at its upstreams at any time */
   uint32_t repeats_window_max;   /**< most repeats in ten seconds of one pool */
+  int32_t repeats_over;          /**< most repeats beyond the budget in ten seconds of one pool;
+                                    below 0: all are within it */
   uint32_t events;
   double cpu_us_per_request; /**< processor time of the reducers */
   uint32_t most_sends;       /**< of one caller's attempt */
