Give each request's credit for repeats to the placer that granted it

Class of fault: a global limit enforced by local counters that spend the same credit. Cause: a placer counted the requests that other placers granted as its own credit, those others spent it too, and a daemon that became home began with an empty account and a part of the slack. Ruled out: repeats that wait for a slot (26 of 2,211 waited over 100 ms); askers that were held up themselves (1,567 of 1,571 silent asks came with ticks under 30 ms apart). Change: credit counts where the request was granted; the first home alone has the slack, a fourth of it until it can have been told, and less the more members it holds to be dead; placers tell their accounts to the first two homes twice a second while they hold repeats, and homes charge themselves the debts of others. Ends of attempts no longer tell whether they repeat (wire version 4). Why it works: the sum over placers of what each may allow is the share of all requests and one slack, whoever asks whom; what a sum cannot bound, credit that is spent and then requests that move, is charged within half a second.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -630,6 +630,10 @@
     case GS_EVENT_PLACE_END:
       placing_take_end (core, event->place_end.pool, &event->place_end.end);
       return true;
+    case GS_EVENT_REPEATS:
+      placing_take_repeats (core, event->repeats.pool, event->repeats.origin,
+                            &event->repeats.account);
+      return true;
     default:
       return false;
     }
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -87,9 +87,18 @@
   GS_EVENT_PLACE_ASK,
   GS_EVENT_PLACE_REPLY,
   GS_EVENT_PLACE_END,
+  GS_EVENT_REPEATS,
   GS_EVENT_STOP,
 } GsEventKind;
 
+/** Repeats that a placer of a pool allowed, told to the pool's homes. */
+typedef struct
+{
+  uint64_t pool;   /**< gs_core_pool_key */
+  uint64_t origin; /**< hash of the placer and its incarnation */
+  GsRepeatsAccount account;
+} GsRepeatsNews;
+
 /** A request that has come whole. */
 typedef struct
 {
@@ -239,6 +248,7 @@
       GsPlaceEnd end;
       bool copy; /**< for a daemon that did not grant; its loss costs little */
     } place_end;
+    GsRepeatsNews repeats;
   };
 } GsEvent;
 
@@ -261,6 +271,7 @@
   GS_EFFECT_PLACE_ASK,
   GS_EFFECT_PLACE_REPLY,
   GS_EFFECT_PLACE_END,
+  GS_EFFECT_REPEATS,
   GS_EFFECT_NOTICE,
 } GsEffectKind;
 
@@ -339,6 +350,7 @@
       GsPlaceEnd end;
       bool copy; /**< for a daemon that did not grant; its loss costs little */
     } place_end;
+    GsRepeatsNews repeats;
     struct
     {
       uint64_t submission;
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -39,7 +39,8 @@
   uint32_t n_active;
   uint64_t homes_epoch;
   uint64_t homes_revision;
-  bool is_home; /* this daemon is an active home */
+  bool is_home;           /* this daemon is an active home */
+  int64_t first_since_us; /* when it became the first home; 0: it is not */
 } PoolState;
 
 typedef enum
@@ -149,8 +150,9 @@
   uint64_t origin;   /* names this daemon in asks */
   uint64_t next_ask;
   uint32_t n_asking;
-  int64_t ticked_us;   /* last tick */
-  int64_t tick_gap_us; /* between the last two ticks: long when this daemon was held up */
+  int64_t repeats_due_us; /* when the homes are told the accounts of repeats again */
+  int64_t ticked_us;      /* last tick */
+  int64_t tick_gap_us;    /* between the last two ticks: long when this daemon was held up */
   GsCrashes *crashes;
   GsTickets *tickets;
   GsClaims *claims[GS_CLAIM_PARTITIONS]; /* NULL until needed */
@@ -219,6 +221,10 @@
 placing_take_ask (GsCore *core, uint64_t pool, const GsPlaceAsk *ask, const GsPeerAddress *from);
 void placing_take_reply (GsCore *core, const GsPlaceReply *reply, const GsPeerAddress *from);
 void placing_take_end (GsCore *core, uint64_t pool, const GsPlaceEnd *end);
+void placing_take_repeats (GsCore *core,
+                           uint64_t pool,
+                           uint64_t origin,
+                           const GsRepeatsAccount *account);
 void placing_take_news (GsCore *core, const GsRegistryNews *news, const GsPeerAddress *from);
 void placing_tables_changed (GsCore *core);
 void placing_tick (GsCore *core);
--- a/src/gentian/core/placer.c
+++ b/src/gentian/core/placer.c
@@ -91,7 +91,7 @@
   char *pool;
   GsSlots *slots;
   GsDurations durations;
-  GsRepeats repeats;
+  GsRepeats *repeats;
   bool budget_reached; /* a repeat was refused since the budget was reported */
   int64_t budget_told_us;
   GsCrashes *lost;    /* fingerprints of lost connections */
@@ -144,7 +144,7 @@
   placer->options = *options;
   placer->pool = g_strdup (options->pool);
   placer->slots = gs_slots_new (gs_mix64 (options->seed + 1));
-  placer->repeats.budget = options->budget;
+  placer->repeats = gs_repeats_new (&options->budget);
   placer->lost = gs_crashes_new (&lost);
   placer->crashed = gs_crashes_new (&crashed);
   placer->waiting = g_ptr_array_new_with_free_func (g_free);
@@ -163,6 +163,7 @@
   if (placer == NULL)
     return;
   gs_slots_free (placer->slots);
+  gs_repeats_free (placer->repeats);
   gs_crashes_free (placer->lost);
   gs_crashes_free (placer->crashed);
   g_ptr_array_unref (placer->waiting);
@@ -177,7 +178,7 @@
 void
 gs_placer_set_slack (GsPlacer *placer, uint32_t slack)
 {
-  placer->repeats.budget.slack = slack;
+  gs_repeats_set_slack (placer->repeats, slack);
 }
 
 void
@@ -278,7 +279,7 @@
   Grant *grant = g_new0 (Grant, 1);
 
   if (!ask->again) /* an ask may come here and to another home, its grant counts at one */
-    gs_repeats_note (&placer->repeats, now_us);
+    gs_repeats_note (placer->repeats, now_us);
   *grant = (Grant){ .id = reply->grant,
                     .ask = ask_key (ask->origin, ask->token),
                     .reply = *reply,
@@ -565,7 +566,7 @@
     return "crashes-upstreams";
   if (ask->running != 0 && !is_stuck (placer, ask->running, now_us))
     return "attempt-may-finish";
-  if (ask->again && !gs_repeats_spend (&placer->repeats, now_us))
+  if (ask->again && !gs_repeats_spend (placer->repeats, now_us))
     {
       placer->budget_reached = true;
       return "repeat-budget";
@@ -713,16 +714,6 @@
     gs_slots_note_served (placer->slots, end->outcome == GS_OUTCOME_OK, now_us);
 }
 
-/* The pool's other home tells of its attempts, so that this one knows the budget when it takes
- * over. */
-static void
-note_foreign (GsPlacer *placer, const GsPlaceEnd *end, int64_t now_us)
-{
-  if (end->outcome == GS_OUTCOME_CANCELLED || end->outcome == GS_OUTCOME_UNREACHABLE)
-    return;
-  gs_repeats_note_told (&placer->repeats, end->again, now_us);
-}
-
 static void
 forget_ask (GsPlacer *placer, uint64_t origin, uint64_t token)
 {
@@ -746,8 +737,6 @@
     grant = g_hash_table_lookup (placer->grants, &end->grant);
   if (grant != NULL)
     gs_slots_release (placer->slots, grant->reply.upstream);
-  if (end->grant != 0 && grant == NULL)
-    note_foreign (placer, end, now_us);
   if (end->grant != 0)
     observe_end (placer, end, grant, now_us);
   if (grant != NULL)
@@ -800,6 +789,21 @@
   return true;
 }
 
+bool
+gs_placer_report_repeats (GsPlacer *placer, int64_t now_us, GsRepeatsAccount *account)
+{
+  return gs_repeats_report (placer->repeats, now_us, account);
+}
+
+void
+gs_placer_take_repeats (GsPlacer *placer,
+                        uint64_t origin,
+                        const GsRepeatsAccount *account,
+                        int64_t now_us)
+{
+  gs_repeats_take (placer->repeats, origin, account, now_us);
+}
+
 bool
 gs_placer_next_budget (GsPlacer *placer, int64_t now_us, GsRepeatsView *view)
 {
@@ -807,10 +811,7 @@
     return false;
   placer->budget_reached = false;
   placer->budget_told_us = now_us;
-  gs_repeats_turn (&placer->repeats, now_us);
-  *view = (GsRepeatsView){ .own = gs_repeats_sum (&placer->repeats, &placer->repeats.own),
-                           .told = gs_repeats_sum (&placer->repeats, &placer->repeats.told),
-                           .slack = placer->repeats.budget.slack };
+  *view = gs_repeats_view (placer->repeats, now_us);
   return true;
 }
 
--- a/src/gentian/core/placer.h
+++ b/src/gentian/core/placer.h
@@ -96,7 +96,6 @@
   uint64_t grant;    /**< 0: the ask was not granted as far as its origin knows */
   uint64_t upstream; /**< key */
   uint64_t flow;
-  bool again; /**< the request had reached an upstream before */
   GsOutcome outcome;
   int64_t answer_us; /**< time to the whole answer */
   uint32_t bytes;    /**< of the bodies of request and answer */
@@ -123,14 +122,6 @@
   bool by_age;       /**< a running attempt decided by its age */
 } GsBeliefChange;
 
-/** The accounts of a budget that refused a repeat. */
-typedef struct
-{
-  GsRepeatsSum own;  /**< granted here */
-  GsRepeatsSum told; /**< granted by other placers */
-  uint32_t slack;    /**< this placer's */
-} GsRepeatsView;
-
 /** State of one upstream, for log lines and the administration API. */
 typedef struct
 {
@@ -175,6 +166,16 @@
 /** RETURN VALUE: true and CHANGE, or false when all changes were taken. */
 bool gs_placer_next_change (GsPlacer *placer, GsBeliefChange *change);
 
+/** Fills ACCOUNT with the repeats that this placer allowed, for the pool's homes. RETURN VALUE:
+ * false when there were none in the last window. */
+bool gs_placer_report_repeats (GsPlacer *placer, int64_t now_us, GsRepeatsAccount *account);
+
+/** Takes the ACCOUNT of another placer of the pool, ORIGIN. */
+void gs_placer_take_repeats (GsPlacer *placer,
+                             uint64_t origin,
+                             const GsRepeatsAccount *account,
+                             int64_t now_us);
+
 /** RETURN VALUE: true and VIEW when repeats were refused for want of budget; once a second at most.
  */
 bool gs_placer_next_budget (GsPlacer *placer, int64_t now_us, GsRepeatsView *view);
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -9,8 +9,9 @@
   PLACING_STATUS_UNAVAILABLE = 503,
   PLACING_STATUS_BAD_GATEWAY = 502,
   PLACING_STATUS_TIMEOUT = 504,
-  PLACING_SECOND_SLACK = 4, /* part of the slack that the second home has: a fourth */
   PLACING_RETRY_MS = 150,   /* return of a refused request that has no better time */
+  PLACING_TOLD_HOMES = 2,   /* homes that are told the accounts of repeats */
+  PLACING_UNTOLD_SLACK = 4, /* part of the slack that a home has until it was told: a fourth */
 };
 
 /** Wait for the reply to an ask: a round trip between failure domains takes some ms, and a slow
@@ -20,6 +21,10 @@
 #define PLACING_RESEND_US (50 * GS_US_PER_MS)
 /** An ask that waits for a slot is repeated this often, which shows that both ends live. */
 #define PLACING_REPEAT_US (250 * GS_US_PER_MS)
+/** Period at which the homes are told the accounts of repeats, and time after which a new first
+ * home has been told them. */
+#define PLACING_TELL_US (500 * GS_US_PER_MS)
+#define PLACING_TOLD_US (2 * GS_US_PER_S)
 /** Ticks are due this soon while a reply may be overdue or a slot may have to be given, else that.
  */
 #define PLACING_BUSY_TICK_US (25 * GS_US_PER_MS)
@@ -62,19 +67,37 @@
   gs_placer_end_update (state->placer, core->now_us);
 }
 
-/*
- * This daemon's part of the pool's slack. The first two homes know each other's repeats by the ends
- * that they are told; others place only what they cannot ask a home for.
- */
+/* Part of the members known here that are alive: less than all while this daemon may be cut off. */
+static double
+share_alive (const GsCore *core)
+{
+  uint32_t count = gs_members_count (core->members);
+  uint32_t alive = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    alive += gs_members_get (core->members, i)->state != GS_MEMBER_DEAD ? 1 : 0;
+  return (double)alive / MAX (count, 1);
+}
+
+/* This daemon's part of the pool's slack: the first home has it, a fourth until it has been told
+ * what other placers allowed. Of two that hold themselves to be first, each sees the other's part
+ * of the fleet as dead. */
 static uint32_t
 slack_of (GsCore *core, PoolState *state)
 {
-  uint32_t slack = core->options.repeats.slack;
+  double slack = core->options.repeats.slack * share_alive (core);
 
   core_refresh_homes (core, state);
-  if (state->n_homes == 0 || state->homes[0] == 0)
-    return slack;
-  return state->n_homes > 1 && state->homes[1] == 0 ? slack / PLACING_SECOND_SLACK : 0;
+  if (state->n_homes > 0 && state->homes[0] != 0)
+    {
+      state->first_since_us = 0;
+      return 0;
+    }
+  if (state->first_since_us == 0)
+    state->first_since_us = core->now_us;
+  if (core->now_us - state->first_since_us < PLACING_TOLD_US)
+    slack /= PLACING_UNTOLD_SLACK;
+  return (uint32_t)slack;
 }
 
 /* The pool's placer at this daemon, which has it from now on. */
@@ -88,9 +111,9 @@
   if (state->placer == NULL)
     {
       state->placer = gs_placer_new (&options);
+      gs_placer_set_slack (state->placer, slack_of (core, state));
       state->registry_epoch = UINT64_MAX;
     }
-  gs_placer_set_slack (state->placer, slack_of (core, state));
   update_placer (core, state);
   return state->placer;
 }
@@ -114,11 +137,9 @@
 
   if (gs_placer_next_budget (state->placer, core->now_us, &view))
     core_notice (core, GS_NOTICE_BUDGET_REACHED,
-                 "pool=%s first_home=%s requests=%u repeats=%u told_requests=%u told_repeats=%u "
-                 "slack=%u",
+                 "pool=%s first_home=%s requests=%u repeats=%u debts=%u placers=%u slack=%u",
                  state->name, state->n_homes == 0 || state->homes[0] == 0 ? "yes" : "no",
-                 view.own.requests, view.own.repeats, view.told.requests, view.told.repeats,
-                 view.slack);
+                 view.requests, view.repeats, view.debts, view.placers, view.slack);
 }
 
 /* Hands out the replies that the placer has decided. */
@@ -507,7 +528,6 @@
                        .grant = attempt->grant,
                        .upstream = attempt->upstream,
                        .flow = flow,
-                       .again = attempt->again,
                        .outcome = event->outcome,
                        .answer_us = core->now_us - attempt->started_us,
                        .bytes = event->bytes,
@@ -782,9 +802,42 @@
     spread_news (core, news);
 }
 
+void
+placing_take_repeats (GsCore *core, uint64_t pool, uint64_t origin, const GsRepeatsAccount *account)
+{
+  PoolState *state = state_of_key (core, pool);
+
+  if (state != NULL)
+    gs_placer_take_repeats (placer_of (core, state), origin, account, core->now_us);
+}
+
+/* Tells the pool's homes of the repeats that were allowed here. */
+static void
+tell_repeats (GsCore *core, PoolState *state)
+{
+  GsRepeatsAccount account;
+
+  if (!gs_placer_report_repeats (state->placer, core->now_us, &account))
+    return;
+  core_refresh_homes (core, state);
+  for (uint32_t i = 0; i < MIN (state->n_homes, PLACING_TOLD_HOMES); i++)
+    {
+      GsEffect *effect;
+      if (state->homes[i] == 0)
+        continue;
+      effect = core_add_effect (core, GS_EFFECT_REPEATS);
+      effect->to = core_address_of (gs_members_get (core->members, state->homes[i]));
+      effect->repeats.pool = state->key;
+      effect->repeats.origin = core->origin;
+      effect->repeats.account = account;
+    }
+}
+
 void
 placing_tick (GsCore *core)
 {
+  bool telling = core->now_us >= core->repeats_due_us;
+
   GHashTableIter iter;
   gpointer value;
 
@@ -798,9 +851,14 @@
       PoolState *state = value;
       if (state->placer == NULL)
         continue;
+      gs_placer_set_slack (state->placer, slack_of (core, state));
       gs_placer_tick (state->placer, core->now_us);
       pump (core, state);
+      if (telling)
+        tell_repeats (core, state);
     }
+  if (telling)
+    core->repeats_due_us = core->now_us + PLACING_TELL_US;
   judge_asks (core);
 }
 
--- a/src/gentian/core/repeats.h
+++ b/src/gentian/core/repeats.h
@@ -1,14 +1,30 @@
 /**
  * NAME
- *   repeats - bounds repeats to a share of the requests within a sliding window
+ *   repeats - bounds the repeats of a pool over all its placers
+ *
+ * SYNOPSIS
+ *   GsRepeats *repeats = gs_repeats_new (&budget);
+ *   gs_repeats_note (repeats, now_us);
+ *   if (gs_repeats_spend (repeats, now_us))
+ *     send_again ();
+ *   if (gs_repeats_report (repeats, now_us, &account))
+ *     tell_homes (&account);
  *
  * DESCRIPTION
- *   Counts requests and repeats in slices of a window. A repeat is allowed while the repeats of the
- * last window stay below the share of the requests in it plus a constant. The newest slice is not
- * over yet, so a slice more is kept: repeats count in all of them, requests in those that lie
- * within the window. Unlike a token bucket it bounds every window, also after a quiet time. What
- * the placer granted itself and what it was told of other placers are counted apart. Header only.
- * Tested by test/unit/test_placer.c.
+ *   The budget is one for the pool, its placers are many: askers that cannot reach a home ask
+ * another one, and homes change. So each request gives credit at one placer only, the one that
+ * granted it, and a placer's repeats stay below the share of its own requests plus its own slack.
+ * The sum over all placers then stays within the budget without a message.
+ *
+ *   What a sum over placers cannot bound is time: a placer that has spent the credit of a whole
+ * window may lose its requests to another one within that window. So placers tell their accounts to
+ * the pool's homes, which charge themselves what others have spent beyond their credit. Losing such
+ * a message costs precision, not the bound of the first rule.
+ *
+ *   Counted in slices of a window. The newest slice is not over yet, so a slice more is kept:
+ * repeats count in all of them, requests in those that lie within the window. Unlike a token bucket
+ * it bounds every window, also after a quiet time. Pure: no I/O, no clock. Tested by
+ * test/unit/test_repeats.c.
  */
 #ifndef GS_REPEATS_H
 #define GS_REPEATS_H
@@ -21,10 +37,9 @@
   GS_REPEATS_KEPT = GS_REPEATS_SLICES + 1,
 };
 
-/** Part of the slack that is used: a home that has just taken over may not know all repeats. */
+/** Part of the slack that is used, and of the share. The rest covers accounts that were told late.
+ */
 #define GS_REPEATS_MARGIN 0.75
-/** Part of the share that is used: while a home answers late, others place for it, and each counts
- * the repeats of the others only when it is told. */
 #define GS_REPEATS_SHARE_MARGIN 0.9
 
 typedef struct
@@ -34,102 +49,46 @@
   int64_t window_us;
 } GsRepeatBudget;
 
-/** Requests and repeats by slice. */
+/** What one placer granted, by slice, the newest first. */
 typedef struct
 {
   uint32_t requests[GS_REPEATS_KEPT];
   uint32_t repeats[GS_REPEATS_KEPT];
 } GsRepeatsAccount;
 
+/** What counts at the moment, for log lines. */
 typedef struct
 {
-  GsRepeatBudget budget;
-  int64_t slice; /**< number of the newest slice */
-  GsRepeatsAccount own;
-  GsRepeatsAccount told; /**< of other placers */
-} GsRepeats;
-
-/** Requests and repeats of the last window. */
-typedef struct
-{
-  uint32_t requests;
+  uint32_t requests; /**< granted by this placer in the last window */
   uint32_t repeats;
-} GsRepeatsSum;
+  uint32_t debts;   /**< repeats of other placers beyond the credit of their own requests */
+  uint32_t placers; /**< that told their accounts */
+  uint32_t slack;   /**< this placer's */
+} GsRepeatsView;
 
-static inline int
-gs_repeats_index (const GsRepeats *repeats)
-{
-  return (int)(repeats->slice % GS_REPEATS_KEPT);
-}
+typedef struct GsRepeats GsRepeats;
 
-/** Forgets the slices that left the window. */
-static inline void
-gs_repeats_turn (GsRepeats *repeats, int64_t now_us)
-{
-  int64_t slice = now_us / (repeats->budget.window_us / GS_REPEATS_SLICES);
+GsRepeats *gs_repeats_new (const GsRepeatBudget *budget);
+void gs_repeats_free (GsRepeats *repeats);
 
-  if (slice - repeats->slice > GS_REPEATS_KEPT)
-    repeats->slice = slice - GS_REPEATS_KEPT;
-  while (repeats->slice < slice)
-    {
-      int index;
-      repeats->slice++;
-      index = gs_repeats_index (repeats);
-      repeats->own.requests[index] = repeats->own.repeats[index] = 0;
-      repeats->told.requests[index] = repeats->told.repeats[index] = 0;
-    }
-}
+/** Sets this placer's part of the slack. */
+void gs_repeats_set_slack (GsRepeats *repeats, uint32_t slack);
 
 /** Notes a request that this placer granted. */
-static inline void
-gs_repeats_note (GsRepeats *repeats, int64_t now_us)
-{
-  gs_repeats_turn (repeats, now_us);
-  repeats->own.requests[gs_repeats_index (repeats)]++;
-}
-
-/** Notes a request, or the repeat of one, that another placer granted. */
-static inline void
-gs_repeats_note_told (GsRepeats *repeats, bool again, int64_t now_us)
-{
-  gs_repeats_turn (repeats, now_us);
-  if (again)
-    repeats->told.repeats[gs_repeats_index (repeats)]++;
-  else
-    repeats->told.requests[gs_repeats_index (repeats)]++;
-}
+void gs_repeats_note (GsRepeats *repeats, int64_t now_us);
 
-/** RETURN VALUE: what ACCOUNT of REPEATS holds for the window that ends now. */
-static inline GsRepeatsSum
-gs_repeats_sum (const GsRepeats *repeats, const GsRepeatsAccount *account)
-{
-  GsRepeatsSum sum = { 0, 0 };
+/** Takes a repeat out of the budget. RETURN VALUE: false when the window allows none. */
+bool gs_repeats_spend (GsRepeats *repeats, int64_t now_us);
 
-  for (int i = 0; i < GS_REPEATS_KEPT; i++)
-    {
-      bool oldest = i == (repeats->slice + 1) % GS_REPEATS_KEPT;
-      sum.requests += oldest ? 0 : account->requests[i];
-      sum.repeats += account->repeats[i];
-    }
-  return sum;
-}
+/** Fills ACCOUNT with what this placer granted. RETURN VALUE: false when it holds no repeat. */
+bool gs_repeats_report (GsRepeats *repeats, int64_t now_us, GsRepeatsAccount *account);
 
-/** Takes a repeat out of the budget. RETURN VALUE: false when the window allows none. */
-static inline bool
-gs_repeats_spend (GsRepeats *repeats, int64_t now_us)
-{
-  double share = GS_REPEATS_SHARE_MARGIN * repeats->budget.share_ppm / 1e6;
-  GsRepeatsSum own;
-  GsRepeatsSum told;
+/** Takes the ACCOUNT of the placer ORIGIN, in place of its earlier one. */
+void gs_repeats_take (GsRepeats *repeats,
+                      uint64_t origin,
+                      const GsRepeatsAccount *account,
+                      int64_t now_us);
 
-  gs_repeats_turn (repeats, now_us);
-  own = gs_repeats_sum (repeats, &repeats->own);
-  told = gs_repeats_sum (repeats, &repeats->told);
-  if (own.repeats + told.repeats + 1
-      > GS_REPEATS_MARGIN * repeats->budget.slack + share * (own.requests + told.requests))
-    return false;
-  repeats->own.repeats[gs_repeats_index (repeats)]++;
-  return true;
-}
+GsRepeatsView gs_repeats_view (GsRepeats *repeats, int64_t now_us);
 
 #endif
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -141,6 +141,10 @@
       message.kind = GS_WIRE_PLACE_REPLY;
       message.reply = effect->place_reply;
       break;
+    case GS_EFFECT_REPEATS:
+      message.kind = GS_WIRE_REPEATS;
+      message.repeats = effect->repeats;
+      break;
     default:
       message.kind = GS_WIRE_PLACE_END;
       message.pool = effect->place_end.pool;
@@ -186,6 +190,7 @@
     case GS_EFFECT_PLACE_ASK:
     case GS_EFFECT_PLACE_REPLY:
     case GS_EFFECT_PLACE_END:
+    case GS_EFFECT_REPEATS:
       send_placing (engine, effect);
       break;
     case GS_EFFECT_APPEND_CLAIM:
@@ -524,6 +529,10 @@
       event->place_reply.from = message->reply_to;
       event->place_reply.reply = message->reply;
       break;
+    case GS_WIRE_REPEATS:
+      event->kind = GS_EVENT_REPEATS;
+      event->repeats = message->repeats;
+      break;
     default:
       event->kind = GS_EVENT_PLACE_END;
       event->place_end.pool = message->pool;
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -4,6 +4,9 @@
 
 #include "../store/pack.h"
 
+/** Most requests of a slice that an account of repeats may hold. */
+#define WIRE_SLICE_MAX 100000000
+
 static void
 pack_fact (msgpack_packer *packer, const GsMemberFact *fact)
 {
@@ -293,7 +296,6 @@
   msgpack_pack_uint64 (packer, end->grant);
   msgpack_pack_uint64 (packer, end->upstream);
   msgpack_pack_uint64 (packer, end->flow);
-  msgpack_pack_uint8 (packer, end->again ? 1 : 0);
   msgpack_pack_uint8 (packer, (uint8_t)end->outcome);
   msgpack_pack_uint64 (packer, (uint64_t)MAX (end->answer_us, 0));
   msgpack_pack_uint8 (packer, end->has_load ? 1 : 0);
@@ -313,7 +315,6 @@
   end->grant = gs_read_uint (reader, UINT64_MAX);
   end->upstream = gs_read_uint (reader, UINT64_MAX);
   end->flow = gs_read_uint (reader, UINT64_MAX);
-  end->again = gs_read_uint (reader, 1) == 1;
   end->outcome = (GsOutcome)gs_read_uint (reader, GS_OUTCOME_COUNT - 1);
   end->answer_us = (int64_t)gs_read_uint (reader, INT32_MAX * GS_US_PER_MS);
   end->has_load = gs_read_uint (reader, 1) == 1;
@@ -322,6 +323,30 @@
   end->bytes = (uint32_t)gs_read_uint (reader, UINT32_MAX);
 }
 
+static void
+pack_repeats (msgpack_packer *packer, const GsRepeatsNews *news)
+{
+  msgpack_pack_uint64 (packer, news->pool);
+  msgpack_pack_uint64 (packer, news->origin);
+  for (int i = 0; i < GS_REPEATS_KEPT; i++)
+    {
+      msgpack_pack_uint32 (packer, news->account.requests[i]);
+      msgpack_pack_uint32 (packer, news->account.repeats[i]);
+    }
+}
+
+static void
+read_repeats (GsReader *reader, GsRepeatsNews *news)
+{
+  news->pool = gs_read_uint (reader, UINT64_MAX);
+  news->origin = gs_read_uint (reader, UINT64_MAX);
+  for (int i = 0; i < GS_REPEATS_KEPT; i++)
+    {
+      news->account.requests[i] = (uint32_t)gs_read_uint (reader, WIRE_SLICE_MAX);
+      news->account.repeats[i] = (uint32_t)gs_read_uint (reader, WIRE_SLICE_MAX);
+    }
+}
+
 static uint32_t
 field_count (GsWireKind kind)
 {
@@ -342,7 +367,9 @@
     case GS_WIRE_PLACE_REPLY:
       return 18;
     case GS_WIRE_PLACE_END:
-      return 13;
+      return 12;
+    case GS_WIRE_REPEATS:
+      return 2 + 2 * GS_REPEATS_KEPT;
     default:
       return 2;
     }
@@ -398,6 +425,9 @@
     case GS_WIRE_PLACE_END:
       pack_end (packer, message);
       break;
+    case GS_WIRE_REPEATS:
+      pack_repeats (packer, &message->repeats);
+      break;
     }
 }
 
@@ -469,6 +499,9 @@
     case GS_WIRE_PLACE_END:
       read_end (reader, message);
       break;
+    case GS_WIRE_REPEATS:
+      read_repeats (reader, &message->repeats);
+      break;
     default:
       reader->failed = true;
     }
@@ -484,7 +517,7 @@
   reader = gs_unpack (&unpacked, bytes, length);
   if (gs_read_uint (&reader, UINT32_MAX) != GS_WIRE_VERSION)
     reader.failed = true;
-  message->kind = (GsWireKind)gs_read_uint (&reader, GS_WIRE_PLACE_END);
+  message->kind = (GsWireKind)gs_read_uint (&reader, GS_WIRE_REPEATS);
   if (!reader.failed)
     read_fields (&reader, message);
   msgpack_unpacked_destroy (&unpacked);
--- a/src/gentian/peer/wire.h
+++ b/src/gentian/peer/wire.h
@@ -15,7 +15,7 @@
 
 enum
 {
-  GS_WIRE_VERSION = 3,
+  GS_WIRE_VERSION = 4,
   GS_WIRE_FACTS_MAX = 20000,             /**< members in one message */
   GS_WIRE_CHANGES_MAX = GS_REGISTRY_MAX, /**< registrations in one message */
 };
@@ -33,6 +33,7 @@
   GS_WIRE_PLACE_ASK = 9,
   GS_WIRE_PLACE_REPLY = 10,
   GS_WIRE_PLACE_END = 11,
+  GS_WIRE_REPEATS = 12,
 } GsWireKind;
 
 /** One message. */
@@ -49,6 +50,7 @@
   GsPlaceAsk ask;         /**< its times count from the moment of sending */
   GsPlaceReply reply;
   GsPlaceEnd end;
+  GsRepeatsNews repeats;
   uint64_t from; /**< of a pull: position already held */
   GBytes *copy;
 } GsWireMessage;
--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -353,6 +353,10 @@
       entry->event.place_reply.from = address_of (lab, from);
       entry->event.place_reply.reply = effect->place_reply;
       break;
+    case GS_EFFECT_REPEATS:
+      entry->event.kind = GS_EVENT_REPEATS;
+      entry->event.repeats = effect->repeats;
+      break;
     default:
       entry->event.kind = GS_EVENT_PLACE_END;
       entry->event.place_end.pool = effect->place_end.pool;
@@ -468,6 +472,7 @@
     case GS_EFFECT_PLACE_ASK:
     case GS_EFFECT_PLACE_REPLY:
     case GS_EFFECT_PLACE_END:
+    case GS_EFFECT_REPEATS:
       send_placing (lab, daemon, effect);
       break;
     case GS_EFFECT_ATTEMPT:
--- a/test/unit/test_repeats.c
+++ b/test/unit/test_repeats.c
@@ -13,6 +13,84 @@
   DAEMONS = 32,
 };
 
+enum
+{
+  BUDGET_STEPS = 6000, /* of 10 ms */
+  BUDGET_WINDOW_STEPS = 1000,
+};
+
+static const GsRepeatBudget BUDGET
+    = { .share_ppm = 200000, .slack = 20, .window_us = 10 * GS_US_PER_S };
+
+/*
+ * A pool that refuses most attempts wants a repeat for each request, at any moment: no span of the
+ * window's length may have more than the share and the slack, wherever it begins.
+ */
+START_TEST (one_placer_keeps_every_window)
+{
+  GsRepeats *repeats = gs_repeats_new (&BUDGET);
+  static uint32_t requests[BUDGET_STEPS];
+  static uint32_t spent[BUDGET_STEPS];
+  int64_t now_us = 1000 * GS_US_PER_S + 337 * GS_US_PER_MS;
+
+  for (int i = 0; i < BUDGET_STEPS; i++, now_us += 10 * GS_US_PER_MS)
+    {
+      bool busy = i / 500 % 3 != 0; /* the pool begins and ceases to refuse */
+      for (int k = 0; k < 4; k++)
+        {
+          gs_repeats_note (repeats, now_us);
+          requests[i]++;
+          if (busy && gs_repeats_spend (repeats, now_us))
+            spent[i]++;
+        }
+    }
+  for (int first = 0; first + BUDGET_WINDOW_STEPS <= BUDGET_STEPS; first++)
+    {
+      uint32_t asked = 0;
+      uint32_t used = 0;
+      for (int i = first; i < first + BUDGET_WINDOW_STEPS; i++)
+        {
+          asked += requests[i];
+          used += spent[i];
+        }
+      ck_assert_uint_le (used, asked / 5 + 20);
+    }
+  gs_repeats_free (repeats);
+}
+END_TEST
+
+/* A placer that has spent its credit loses its requests to another one within the window. */
+START_TEST (a_home_charges_itself_the_debts_of_others)
+{
+  GsRepeats *before = gs_repeats_new (&BUDGET);
+  GsRepeats *after = gs_repeats_new (&BUDGET);
+  GsRepeatsAccount account;
+  int64_t now_us = 1000 * GS_US_PER_S;
+  uint32_t spent = 0;
+
+  for (int i = 0; i < 1000; i++)
+    gs_repeats_note (before, now_us);
+  now_us += 9 * GS_US_PER_S;
+  while (gs_repeats_spend (before, now_us))
+    spent++;
+  ck_assert_uint_le (spent, 200 + BUDGET.slack);
+  now_us += 2 * GS_US_PER_S; /* the requests leave the window, the repeats do not */
+  ck_assert (gs_repeats_report (before, now_us, &account));
+  gs_repeats_set_slack (after, 0);
+  gs_repeats_take (after, 1, &account, now_us);
+  for (int i = 0; i < 500; i++)
+    gs_repeats_note (after, now_us);
+  ck_assert_uint_eq (gs_repeats_view (after, now_us).debts, spent);
+  ck_assert (!gs_repeats_spend (after, now_us));
+  now_us += 10 * GS_US_PER_S; /* the debt has left the window */
+  for (int i = 0; i < 500; i++)
+    gs_repeats_note (after, now_us);
+  ck_assert (gs_repeats_spend (after, now_us));
+  gs_repeats_free (before);
+  gs_repeats_free (after);
+}
+END_TEST
+
 /* Refunds to a pool of which every server refuses most attempts for 8.5 s, so that every repeat
  * that the budget allows is made. */
 static LabOptions
@@ -110,6 +188,8 @@
 END_TEST
 
 FIXTURE_MAIN ("repeats",
+              &one_placer_keeps_every_window,
+              &a_home_charges_itself_the_debts_of_others,
               &several_placers_together_keep_the_budget,
               &a_new_home_keeps_the_budget,
               &a_home_that_takes_over_keeps_the_budget)
