Pass a new version of the tables on to two members a daemon, instead of a copy for each from every reader

Cause: each daemon that read a version first sent a whole copy to each of the 32 others of its failure domain. With 350 routes a copy has 67,645 bytes, a push 2.2 MB: 1.7 s of a link of 10 Mbit/s. Two versions came within 0.3 s, and with the strong daemons turned away by the store seven weak ones read. Their links were full from 10.4 to 14.3 s: no call of the store was answered, no version reached them (trial on a copy, calls and pushes in the log). Ruled out: that those daemons were cut off: they answered callers, and their reads failed only after the pushes. Change: who learns a version, by the store or from a member, passes it on to two: the next on the ring of its domain's names, and the one a square root of the domain's size further. Others still pull what they miss. Test: what_each_passes_to_two_reaches_the_domain (99 members, an eighth dead, at most twice the root in steps).

--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -1,6 +1,7 @@
 #include "member.h"
 
 #include <glib.h>
+#include <math.h>
 #include <string.h>
 
 enum
@@ -785,3 +786,44 @@
     }
   return rank;
 }
+
+typedef struct
+{
+  uint64_t distance; /* on the ring, from this daemon */
+  uint32_t index;
+} RingPlace;
+
+static int
+compare_places (gconstpointer a, gconstpointer b)
+{
+  const RingPlace *first = a;
+  const RingPlace *second = b;
+
+  return first->distance < second->distance ? -1 : first->distance > second->distance;
+}
+
+uint32_t
+gs_members_relays (const GsMembers *members, uint32_t *indexes)
+{
+  const Member *self = member_at (members, 0);
+  g_autoptr (GArray) ring = g_array_new (FALSE, FALSE, sizeof (RingPlace));
+  uint32_t step;
+
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      const Member *member = member_at (members, i);
+      RingPlace place = { .distance = member->hash - self->hash, .index = i };
+      if ((member->fact.state == GS_MEMBER_ALIVE || member->fact.state == GS_MEMBER_LEAVING)
+          && strcmp (member->fact.failure_domain, self->fact.failure_domain) == 0)
+        g_array_append_val (ring, place);
+    }
+  if (ring->len == 0)
+    return 0;
+  g_array_sort (ring, compare_places);
+  indexes[0] = g_array_index (ring, RingPlace, 0).index;
+  step = (uint32_t)ceil (sqrt (ring->len + 1));
+  if (step <= 1 || step > ring->len)
+    return 1;
+  indexes[1] = g_array_index (ring, RingPlace, step - 1).index;
+  return 2;
+}
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -161,4 +161,17 @@
  * ones first. */
 uint32_t gs_members_domain_rank (const GsMembers *members, uint64_t key);
 
+enum
+{
+  GS_RELAYS = 2, /**< members to which a daemon passes on what concerns its failure domain */
+};
+
+/**
+ * Fills INDEXES with the members of the own failure domain to which this daemon passes on what is
+ * new to it: on the ring of the domain's names the next one, and one a square root of the domain's
+ * size further. When each does so all are reached, and nobody sends more than GS_RELAYS copies.
+ * RETURN VALUE: how many, at most GS_RELAYS.
+ */
+uint32_t gs_members_relays (const GsMembers *members, uint32_t *indexes);
+
 #endif
--- a/src/gentian/core/placing.c
+++ b/src/gentian/core/placing.c
@@ -837,7 +837,6 @@
 placing_tick (GsCore *core)
 {
   bool telling = core->now_us >= core->repeats_due_us;
-
   GHashTableIter iter;
   gpointer value;
 
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -417,16 +417,16 @@
   g_autoptr (GBytes) bytes = NULL;
   const GsCore *core = gs_engine_lock (engine);
   const GsMembers *members = gs_core_members (core);
+  uint32_t relays[GS_RELAYS];
+  uint32_t n_relays = gs_members_relays (members, relays);
 
   message.copy = gs_copy_encode (gs_core_fold (core), 0);
   bytes = gs_wire_encode (&message);
-  for (uint32_t i = 1; i < gs_members_count (members); i++)
+  for (uint32_t i = 0; i < n_relays; i++)
     {
-      const GsMemberFact *member = gs_members_get (members, i);
+      const GsMemberFact *member = gs_members_get (members, relays[i]);
       GsPeerAddress to = { .ipv4 = member->ipv4, .peer_port = member->peer_port };
-      if (member->state != GS_MEMBER_DEAD
-          && strcmp (member->failure_domain, engine->settings->failure_domain) == 0)
-        gs_peer_send (engine->peer, &to, GS_PEER_STEADY, g_bytes_ref (bytes));
+      gs_peer_send (engine->peer, &to, GS_PEER_STEADY, g_bytes_ref (bytes));
     }
   gs_engine_unlock (engine);
   gs_wire_clear (&message);
@@ -540,10 +540,21 @@
     }
 }
 
+static uint64_t
+tables_position (GsEngine *engine)
+{
+  const GsCore *core = gs_engine_lock (engine);
+  uint64_t position = gs_fold_position (gs_core_fold (core));
+
+  gs_engine_unlock (engine);
+  return position;
+}
+
 static void
 take_message (GsEngine *engine, GsWireMessage *message)
 {
   GsEvent event = { 0 };
+  uint64_t position;
   gsize length;
   const char *bytes;
 
@@ -570,8 +581,11 @@
       return;
     case GS_WIRE_COPY:
       bytes = g_bytes_get_data (message->copy, &length);
+      position = tables_position (engine);
       if (!gs_engine_take_copy (engine, bytes, length))
         gs_log (GS_NOTICE_PEER_REFUSED, "kind=copy bytes=%zu", length);
+      if (tables_position (engine) > position)
+        gs_engine_push_copy (engine);
       return;
     case GS_WIRE_NEWS_PULL:
       answer_registry_pull (engine, &message->reply_to);
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -94,7 +94,7 @@
 /** Asks the daemon at TO for all registrations. */
 void gs_engine_pull_registry (GsEngine *engine, const GsPeerAddress *to);
 
-/** Sends all tables to the other daemons of this failure domain. */
+/** Sends all tables to the relays of this daemon (gs_members_relays), which do the same. */
 void gs_engine_push_copy (GsEngine *engine);
 
 /** Parses and posts a copy received as LENGTH bytes. RETURN VALUE: false when it is malformed. */
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -444,6 +444,81 @@
 }
 END_TEST
 
+enum
+{
+  DOMAIN_SIZE = 99,
+};
+
+static void
+drop (const GsPeerAddress *to, const GsProbe *probe, void *data)
+{
+  (void)to;
+  (void)data;
+  g_free (probe->facts);
+}
+
+/* A member of a domain of DOMAIN_SIZE that knows all others; every eighth of them is dead. */
+static GsMembers *
+member_of_domain (int self)
+{
+  GsProbe probe = { .kind = GS_PROBE_MEMBERS, .n_facts = DOMAIN_SIZE };
+  GsMemberFact facts[DOMAIN_SIZE];
+  GsMembers *members;
+
+  for (int i = 0; i < DOMAIN_SIZE; i++)
+    {
+      char id[16];
+      g_snprintf (id, sizeof id, "m%02d", i);
+      facts[i] = fixture_member (id, "d");
+      facts[i].ipv4 = (uint32_t)i + 1;
+      facts[i].state = i % 8 == 7 ? GS_MEMBER_DEAD : GS_MEMBER_ALIVE;
+    }
+  members = gs_members_new (
+      &(GsMembersOptions){ .self = facts[self], .seed = (uint64_t)self, .sink = drop });
+  probe.from = facts[(self + 1) % DOMAIN_SIZE];
+  probe.from.state = GS_MEMBER_ALIVE;
+  probe.facts = facts;
+  gs_members_receive (members, &probe, GS_US_PER_S);
+  return members;
+}
+
+/* Guards against a daemon that fills its link with a copy for each member of its domain, so that it
+ * hears nothing for seconds (CONFIG on pgbcma-gate-grown): two copies each reach all, in few steps.
+ */
+START_TEST (what_each_passes_to_two_reaches_the_domain)
+{
+  int steps[DOMAIN_SIZE];
+  GQueue reached = G_QUEUE_INIT;
+  int most = 0;
+
+  for (int i = 0; i < DOMAIN_SIZE; i++)
+    steps[i] = -1;
+  steps[0] = 0;
+  g_queue_push_tail (&reached, GINT_TO_POINTER (0));
+  while (!g_queue_is_empty (&reached))
+    {
+      int from = GPOINTER_TO_INT (g_queue_pop_head (&reached));
+      GsMembers *members = member_of_domain (from);
+      uint32_t relays[GS_RELAYS];
+      uint32_t n_relays = gs_members_relays (members, relays);
+      ck_assert_uint_le (n_relays, GS_RELAYS);
+      for (uint32_t i = 0; i < n_relays; i++)
+        {
+          int to = (int)gs_members_get (members, relays[i])->ipv4 - 1;
+          if (steps[to] >= 0)
+            continue;
+          steps[to] = steps[from] + 1;
+          most = MAX (most, steps[to]);
+          g_queue_push_tail (&reached, GINT_TO_POINTER (to));
+        }
+      gs_members_free (members);
+    }
+  for (int i = 0; i < DOMAIN_SIZE; i++)
+    ck_assert_msg (i % 8 == 7 || steps[i] >= 0, "member %d is not reached", i);
+  ck_assert_int_le (most, 2 * 10); /* twice the root of the domain's size */
+}
+END_TEST
+
 FIXTURE_MAIN ("member",
               &all_find_each_other,
               &a_seed_that_starts_late_is_asked_again,
@@ -459,4 +534,5 @@
               &a_start_that_looks_older_is_refuted,
               &the_daemon_to_pull_from_is_the_one_heard_last,
               &messages_do_not_grow_with_the_fleet,
-              &a_large_fleet_is_probed_half_as_often)
+              &a_large_fleet_is_probed_half_as_often,
+              &what_each_passes_to_two_reaches_the_domain)
