--- a/src/gentian/config/settings.c
+++ b/src/gentian/config/settings.c
@@ -151,7 +151,7 @@
 {
   const char *missing = NULL;
 
-  if (*settings->store_url != '\0')
+  if (gs_settings_native (settings))
     return TRUE;
   if (*settings->platform_url == '\0')
     missing = "platform_url";
--- a/src/gentian/config/settings.h
+++ b/src/gentian/config/settings.h
@@ -62,6 +62,13 @@
 
 void gs_settings_free (GsSettings *settings);
 
+/** RETURN VALUE: whether tables and registrations come from the platform's store. */
+static inline bool
+gs_settings_native (const GsSettings *settings)
+{
+  return *settings->store_url != '\0';
+}
+
 /** RETURN VALUE: newly allocated Markdown reference. */
 char *gs_settings_reference (void);
 
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -111,12 +111,6 @@
   GsFollower *follower;
 } Services;
 
-static bool
-is_native (const GsSettings *settings)
-{
-  return *settings->store_url != '\0';
-}
-
 static GsEntryOptions
 entry_options (GsEngine *engine, bool native)
 {
@@ -135,22 +129,23 @@
 static bool
 start_services (Services *services, const GsSettings *settings, GError **error)
 {
-  GsEngineOptions engine = { .settings = settings,
-                             .loop = services->loop,
-                             .parse_tables = is_native (settings) ? platform_decode_tables : NULL };
+  GsEngineOptions engine
+      = { .settings = settings,
+          .loop = services->loop,
+          .parse_tables = gs_settings_native (settings) ? platform_decode_tables : NULL };
   GsEntryOptions entry;
 
   services->engine = gs_engine_new (&engine, error);
   if (services->engine == NULL)
     return false;
-  entry = entry_options (services->engine, is_native (settings));
+  entry = entry_options (services->engine, gs_settings_native (settings));
   services->entry = gs_entry_new (&entry, error);
   if (services->entry == NULL)
     return false;
   services->admin = gs_admin_new (services->engine, error);
   if (services->admin == NULL)
     return false;
-  if (!is_native (settings))
+  if (!gs_settings_native (settings))
     {
       services->follower = gs_follower_new (services->engine);
       return true;
@@ -301,7 +296,7 @@
     gs_log (GS_NOTICE_CUT, "requests=%u", cut);
   gs_counter_add (GS_COUNTER_REQUESTS_CUT, cut);
   gs_log (GS_NOTICE_STOPPED, "cut=%u", cut);
-  if (cut > 0 || is_native (settings))
+  if (cut > 0 || gs_settings_native (settings))
     return cut > 0 ? EXIT_CUT : EXIT_SUCCESS; /* the process ends; nothing waits for its threads */
   end_services (&services);
   return EXIT_SUCCESS;
