Log how answers end and why one is discarded

Change: event 2111 answer-discarded (reason, framing, stated length, bytes, whether the connection was reused), event 2112 answer-ended-by-close, and a counter for each. No decision changes.

--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -46,6 +46,8 @@
   bool reused_connection;
   bool is_head_request;
   bool delimited; /* the answer states its length or is chunked */
+  bool chunked;
+  bool head_complete; /* the empty line after the headers has been received */
   char echo[GS_EXCHANGE_ECHO_MAX + 1];
   bool crash_check_running;
   bool done_reported;   /* the owner's `done` has been called */
@@ -101,6 +103,8 @@
 {
   g_ptr_array_set_size (exchange->answer_headers, 0);
   exchange->delimited = false;
+  exchange->chunked = false;
+  exchange->head_complete = false;
   exchange->content_length = -1;
 }
 
@@ -113,7 +117,7 @@
       exchange->content_length = g_ascii_strtoll (value, NULL, 10);
     }
   else if (g_ascii_strcasecmp (name, "transfer-encoding") == 0)
-    exchange->delimited = g_ascii_strcasecmp (value, "chunked") == 0;
+    exchange->delimited = exchange->chunked = g_ascii_strcasecmp (value, "chunked") == 0;
   g_ptr_array_add (exchange->answer_headers, g_strdup (name));
   g_ptr_array_add (exchange->answer_headers, g_strdup (value));
 }
@@ -139,6 +143,8 @@
       *colon = '\0';
       add_answer_header (exchange, g_strstrip (line), g_strstrip (colon + 1));
     }
+  else if (*line == '\r' || *line == '\n')
+    exchange->head_complete = true;
   return length;
 }
 
@@ -733,3 +739,31 @@
 {
   return exchange->content_length;
 }
+
+const char *
+gs_exchange_framing (const GsExchange *exchange)
+{
+  if (!exchange->head_complete)
+    return "unknown";
+  if (has_no_body (exchange))
+    return "no-body";
+  if (exchange->chunked)
+    return "chunked";
+  return exchange->content_length >= 0 ? "length" : "close";
+}
+
+const char *
+gs_exchange_discard_reason (const GsExchange *exchange)
+{
+  if (!exchange->finished || exchange->complete || exchange->first_byte_us == 0)
+    return NULL;
+  if (!is_own_answer (exchange))
+    return "not-own";
+  return exchange->head_complete ? "body-incomplete" : "head-incomplete";
+}
+
+bool
+gs_exchange_reused_connection (const GsExchange *exchange)
+{
+  return exchange->reused_connection;
+}
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -119,6 +119,16 @@
 /** RETURN VALUE: the answer's Content-Length in bytes, or -1 where it has none. */
 int64_t gs_exchange_length (const GsExchange *exchange);
 
+/** RETURN VALUE: static name of how the answer states its end: unknown (its head is not complete),
+ * no-body, length, chunked, close. */
+const char *gs_exchange_framing (const GsExchange *exchange);
+
+/** RETURN VALUE: static text that says why the answer that had begun is not used, or NULL. */
+const char *gs_exchange_discard_reason (const GsExchange *exchange);
+
+/** RETURN VALUE: whether the connection had carried other requests before. */
+bool gs_exchange_reused_connection (const GsExchange *exchange);
+
 /** Return values of gs_exchange_read when nothing can be read. */
 enum
 {
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -329,6 +329,37 @@
   gs_engine_post (request->context->engine, &event);
 }
 
+/* Logs the answers that are not used, and those whose end only the end of the connection tells. */
+static void
+log_answer_end (const GsProxyRequest *request)
+{
+  const GsExchange *exchange = request->exchange;
+  const char *reason = gs_exchange_discard_reason (exchange);
+  const char *framing = gs_exchange_framing (exchange);
+  bool complete = gs_exchange_state (exchange) == GS_EXCHANGE_COMPLETE;
+  const char *label = request->event.label != NULL ? request->event.label : "-";
+  size_t bytes;
+
+  gs_exchange_body (exchange, &bytes);
+  if (complete && (strcmp (framing, "close") == 0 || strcmp (framing, "unknown") == 0))
+    {
+      gs_counter_add (GS_COUNTER_ANSWERS_BY_CLOSE, 1);
+      gs_log (GS_LOG_EVENT_ANSWER_ENDED_BY_CLOSE,
+              "request=%" G_GUINT64_FORMAT " id=%s upstream=%s status=%ld framing=%s bytes=%zu",
+              request->engine_id, label, request->attempt.attempt.target,
+              gs_exchange_status (exchange), framing, bytes);
+    }
+  if (reason == NULL)
+    return;
+  gs_counter_add (GS_COUNTER_ANSWERS_DISCARDED, 1);
+  gs_log (GS_LOG_EVENT_ANSWER_DISCARDED,
+          "request=%" G_GUINT64_FORMAT " id=%s upstream=%s reason=%s status=%ld framing=%s "
+          "length=%" G_GINT64_FORMAT " bytes=%zu reused=%s",
+          request->engine_id, label, request->attempt.attempt.target, reason,
+          gs_exchange_status (exchange), framing, gs_exchange_length (exchange), bytes,
+          gs_exchange_reused_connection (exchange) ? "yes" : "no");
+}
+
 static void execute_effects (GsProxyRequest *request);
 
 static void
@@ -342,6 +373,7 @@
   request->attempt_running = false;
   if (gs_exchange_answer_us (request->exchange) > 0)
     gs_histogram_record (GS_HISTOGRAM_ATTEMPT, gs_exchange_answer_us (request->exchange));
+  log_answer_end (request);
   if (state == GS_EXCHANGE_STREAMING && classify (request, effect) == GS_OUTCOME_OK)
     {
       start_streaming (request);
--- a/src/gentian/log/counter.h
+++ b/src/gentian/log/counter.h
@@ -23,6 +23,10 @@
   X (ENTRIES, "gentian_entries_total", "address lookups from callers")                             \
   X (ANSWERS_BROKEN, "gentian_answers_broken_total",                                               \
      "answers aborted because they were incomplete")                                               \
+  X (ANSWERS_DISCARDED, "gentian_answers_discarded_total",                                         \
+     "answers of upstreams not used: incomplete, malformed or of another request")                 \
+  X (ANSWERS_BY_CLOSE, "gentian_answers_by_close_total",                                           \
+     "answers of upstreams that ended with their connection")                                      \
   X (REQUESTS_CUT, "gentian_requests_cut_total", "requests in flight when the process ended")      \
   X (PEER_SENT, "gentian_peer_messages_sent_total", "messages sent to other daemons")              \
   X (PEER_SENT_BYTES, "gentian_peer_sent_bytes_total", "bytes of messages sent to other daemons")  \
