--- a/src/gentian/http/address_lookup.c
+++ b/src/gentian/http/address_lookup.c
@@ -5,6 +5,7 @@
 
 #include "../log/counter.h"
 #include "exchange.h"
+#include "header_names.h"
 
 /* Formats a ticket: INSTANCE/INCARNATION/NUMBER/SIGNATURE, with the numbers in hexadecimal. */
 static char *
@@ -148,7 +149,9 @@
 query_home (GsAddressLookup *lookup)
 {
   static const GsExchangeClass class = { .done = on_home_answer };
-  g_autoptr (GPtrArray) headers = g_ptr_array_new ();
+  static uint64_t n_queries;
+  g_autoptr (GPtrArray) headers = g_ptr_array_new_with_free_func (g_free);
+  g_autofree char *echo = g_strdup_printf ("lookup-%" G_GUINT64_FORMAT, ++n_queries);
   const GsMemberInfo *home = &lookup->entries.members[lookup->next_home++];
   GsExchangeOptions options = { .ipv4 = home->ipv4,
                                 .port = home->entry_port,
@@ -156,9 +159,12 @@
                                 .target = lookup->target,
                                 .headers = headers,
                                 .timeout_us = GS_US_PER_S,
+                                .echo_header = gs_header_names_default.attempt,
+                                .echo = echo,
                                 .class = &class,
                                 .data = lookup };
 
+  g_ptr_array_add (headers, g_strdup_printf ("%s: %s", options.echo_header, echo));
   lookup->exchange = gs_exchange_new (lookup->options.client, &options);
   gs_exchange_start (lookup->exchange);
 }
--- a/src/gentian/http/client.c
+++ b/src/gentian/http/client.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /** Period at which idle connections are checked for those to close. */
 #define CLIENT_SWEEP_S 1.0
@@ -14,16 +15,29 @@
   ev_timer sweep;
 };
 
-static void
-free_connection (gpointer data)
+GsConnection *
+gs_connection_new (void)
 {
-  GsConnection *connection = data;
+  GsConnection *connection = g_new0 (GsConnection, 1);
+
+  connection->socket = -1;
+  return connection;
+}
 
-  curl_easy_cleanup (connection->easy);
-  curl_multi_cleanup (connection->multi);
+void
+gs_connection_free (GsConnection *connection)
+{
+  if (connection->socket >= 0)
+    close (connection->socket);
   g_free (connection);
 }
 
+static void
+free_connection (gpointer data)
+{
+  gs_connection_free (data);
+}
+
 static void
 free_queue (gpointer data)
 {
@@ -41,7 +55,7 @@
 
   (void)key;
   while ((last = g_queue_peek_tail (queue)) != NULL && last->idle_until_us <= *now_us)
-    free_connection (g_queue_pop_tail (queue));
+    gs_connection_free (g_queue_pop_tail (queue));
   return g_queue_is_empty (queue);
 }
 
@@ -99,17 +113,6 @@
   g_hash_table_remove (client->idle, &key);
 }
 
-static GsConnection *
-new_connection (void)
-{
-  GsConnection *connection = g_new0 (GsConnection, 1);
-
-  connection->easy = curl_easy_init ();
-  connection->multi = curl_multi_init ();
-  curl_multi_setopt (connection->multi, CURLMOPT_MAXCONNECTS, 1L);
-  return connection;
-}
-
 /* RETURN VALUE: false when the connection has unsolicited data or was closed by its server: it
  * cannot be reused. */
 static bool
@@ -117,8 +120,7 @@
 {
   char byte;
 
-  return connection->socket != CURL_SOCKET_BAD
-         && recv (connection->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+  return recv (connection->socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -133,21 +135,20 @@
     {
       if (g_get_monotonic_time () < connection->idle_until_us && is_reusable (connection))
         return connection;
-      free_connection (connection);
+      gs_connection_free (connection);
     }
-  return new_connection ();
+  return gs_connection_new ();
 }
 
 void
-gs_client_release (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection)
+gs_client_keep (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection)
 {
   int64_t key = address_key (ipv4, port);
   GQueue *queue = g_hash_table_lookup (client->idle, &key);
 
-  if (!connection->connected
-      || (queue != NULL && g_queue_get_length (queue) >= client->options.max_idle))
+  if (queue != NULL && g_queue_get_length (queue) >= client->options.max_idle)
     {
-      free_connection (connection);
+      gs_connection_free (connection);
       return;
     }
   if (queue == NULL)
@@ -155,6 +156,7 @@
       queue = g_queue_new ();
       g_hash_table_insert (client->idle, g_memdup2 (&key, sizeof key), queue);
     }
+  connection->reused = true;
   g_queue_push_head (queue, connection);
   if (!ev_is_active (&client->sweep))
     ev_timer_again (client->options.loop, &client->sweep);
--- a/src/gentian/http/client.h
+++ b/src/gentian/http/client.h
@@ -3,14 +3,13 @@
  *   client - a pool of idle connections to upstreams and daemons
  *
  * DESCRIPTION
- *   A connection is a libcurl multi handle whose own cache holds one connection at most, which
- * leaves the choice of a request's connection to this module. Idle connections are closed before
- * their server may close them. Not thread-safe.
+ *   Connections are non-blocking TCP sockets. One is kept only after an exchange that ended with a
+ * proven end of its answer, and is closed before its server may close it. A connection that has
+ * received anything while it was idle is never used again. Not thread-safe.
  */
 #ifndef GS_CLIENT_H
 #define GS_CLIENT_H
 
-#include <curl/curl.h>
 #include <ev.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -31,10 +30,8 @@
 /** One connection. */
 typedef struct
 {
-  CURL *easy;
-  CURLM *multi;
-  bool connected; /**< open and reusable after the last exchange */
-  curl_socket_t socket;
+  int socket;            /**< -1: not opened */
+  bool reused;           /**< it has carried an exchange before */
   int64_t idle_until_us; /**< monotonic time until which it may be reused */
 } GsConnection;
 
@@ -43,11 +40,18 @@
 
 const GsClientOptions *gs_client_options (const GsClient *client);
 
-/** RETURN VALUE: the last used idle connection to the address, or a new one, not connected yet. */
+/** RETURN VALUE: the last used idle connection to the address, or a new one that is not opened. */
 GsConnection *gs_client_acquire (GsClient *client, uint32_t ipv4, uint16_t port);
 
-/** Keeps CONNECTION for reuse if it is connected and max_idle permits, or else closes it. */
-void gs_client_release (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection);
+/** RETURN VALUE: a new connection that is not opened. */
+GsConnection *gs_connection_new (void);
+
+/** Closes and frees CONNECTION. */
+void gs_connection_free (GsConnection *connection);
+
+/** Keeps CONNECTION, whose last exchange was complete, for reuse until its idle_until_us. Closes it
+ * if max_idle connections are kept already. */
+void gs_client_keep (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection);
 
 /** Closes the idle connections to an address. */
 void gs_client_drop_idle (GsClient *client, uint32_t ipv4, uint16_t port);
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -192,6 +192,17 @@
   request->lookup = gs_address_lookup_start (&options);
 }
 
+/* Names the attempt of the daemon that forwarded the request, which tells answers apart by it. */
+static void
+echo_attempt (GsProxyRequest *request)
+{
+  const char *name = request->context->header_names->attempt;
+  const char *attempt = name != NULL ? gs_request_head_get (request, name) : NULL;
+
+  if (attempt != NULL)
+    MHD_add_response_header (request->response, name, attempt);
+}
+
 /* Sends the answer, or suspends the connection until there is one. */
 static enum MHD_Result
 answer_or_suspend (GsProxyRequest *request)
@@ -207,6 +218,7 @@
     }
   if (gs_engine_stopping (request->context->engine))
     MHD_add_response_header (request->response, "Connection", "close");
+  echo_attempt (request);
   if (request->engine_id != 0)
     gs_histogram_record (GS_HISTOGRAM_REQUEST, g_get_monotonic_time () - request->received_us);
   result = MHD_queue_response (request->connection, request->status, request->response);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -3,16 +3,20 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "../log/counter.h"
+#include "answer_parser.h"
 
 enum
 {
-  EXCHANGE_HEADERS_MAX = 100,
-  EXCHANGE_HEADER_BYTES_MAX = 65536,
+  EXCHANGE_HEAD_BYTES = 1024,         /* reserved for the head of a request */
+  EXCHANGE_READ_BYTES = 16 * 1024,    /* read from a socket at once */
+  EXCHANGE_READS_MAX = 16,            /* before the loop handles other events */
   EXCHANGE_CONNECT_TIMEOUT_MS = 1000, /* where the client's options set none */
   EXCHANGE_TIMER_MIN_US = 500,        /* shortest delay for which the limit timer is armed */
 };
@@ -27,36 +31,34 @@
   GsClient *client;
   GsExchangeOptions options;
   struct ev_loop *loop;
-  GsConnection *connection;
-  ev_io socket_io;         /* the socket that libcurl waits for */
-  ev_timer transfer_timer; /* libcurl's own timeouts */
-  ev_timer limit_timer;    /* the exchange's earliest time limit */
-  ev_io check_io;          /* the crash check's connection attempt */
-  ev_timer check_timer;    /* start of the crash check, then its timeout */
-  ev_check deferred_done;  /* fed when the exchange ends within gs_exchange_start */
-  struct curl_slist *headers;
-  GPtrArray *answer_headers; /* name, value, name, value, ... */
-  size_t header_bytes;
-  GByteArray *buffer;
+  GsConnection *connection; /* NULL after its release */
+  ev_io socket_io;
+  ev_timer limit_timer;   /* the exchange's earliest time limit */
+  ev_io check_io;         /* the crash check's connection attempt */
+  ev_timer check_timer;   /* start of the crash check, then its timeout */
+  ev_check deferred_done; /* fed when the exchange ends within gs_exchange_start */
+  GString *head;          /* the request up to its body */
+  size_t bytes_sent;      /* of the head and the body */
+  GsAnswerParser *parser;
+  GByteArray *buffer; /* the answer's body */
   size_t buffer_read;
-  bool sent;     /* bytes of the request may have been sent */
-  bool paused;   /* receiving is paused because the buffer is full */
-  bool finished; /* the transfer has ended, completely or not */
-  bool complete; /* the transfer has ended with a complete answer */
+  bool connecting;
+  bool sent;         /* bytes of the request may have been sent */
+  bool write_failed; /* an end of file may be the rest of a reset that the write consumed */
+  bool surplus;      /* bytes came after the end of the answer */
+  bool paused;       /* receiving is paused because the buffer is full */
+  bool finished;     /* the transfer has ended, completely or not */
+  bool complete;     /* the transfer has ended with a complete answer */
   bool reused_connection;
-  bool is_head_request;
-  bool delimited; /* the answer states its length or is chunked */
-  bool chunked;
-  bool head_complete; /* the empty line after the headers has been received */
-  char echo[GS_EXCHANGE_ECHO_MAX + 1];
+  char *echo;
+  const char *discard_reason; /* why the answer that had begun is not used */
   bool crash_check_running;
   bool done_reported;   /* the owner's `done` has been called */
   int64_t next_late_us; /* monotonic time of the next call of `late`; 0: never */
   GsExchangeState state;
   GsOutcome outcome;
-  long status;
-  int64_t content_length;
   int64_t started_us;
+  int64_t connect_until_us; /* limit to the connection attempt */
   int64_t first_byte_us;
   int64_t progress_us;
 };
@@ -82,135 +84,54 @@
   return false;
 }
 
-/* Called by libcurl on an established connection, each time before it sends the request. Refuses
- * the second time: the request is sent at most once. */
-static int
-on_before_send (void *data, char *remote, char *local, int remote_port, int local_port)
-{
-  GsExchange *exchange = data;
-  bool again = exchange->sent;
-
-  (void)remote;
-  (void)local;
-  (void)remote_port;
-  (void)local_port;
-  exchange->sent = true;
-  return again ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-}
-
+/* A line break in a value would end the header and let the rest pass for another one. */
 static void
-start_answer_head (GsExchange *exchange)
+append_header_line (GString *head, const char *line)
 {
-  g_ptr_array_set_size (exchange->answer_headers, 0);
-  exchange->delimited = false;
-  exchange->chunked = false;
-  exchange->head_complete = false;
-  exchange->content_length = -1;
-}
+  gsize begin = head->len;
 
-static void
-add_answer_header (GsExchange *exchange, char *name, char *value)
-{
-  if (g_ascii_strcasecmp (name, "content-length") == 0)
-    {
-      exchange->delimited = true;
-      exchange->content_length = g_ascii_strtoll (value, NULL, 10);
-    }
-  else if (g_ascii_strcasecmp (name, "transfer-encoding") == 0)
-    exchange->delimited = exchange->chunked = g_ascii_strcasecmp (value, "chunked") == 0;
-  g_ptr_array_add (exchange->answer_headers, g_strdup (name));
-  g_ptr_array_add (exchange->answer_headers, g_strdup (value));
+  g_string_append (head, line);
+  g_strdelimit (head->str + begin, "\r\n", ' ');
+  g_string_append (head, "\r\n");
 }
 
-static size_t
-on_header (char *bytes, size_t size, size_t count, void *data)
+static bool
+has_header (const GPtrArray *headers, const char *name)
 {
-  GsExchange *exchange = data;
-  size_t length = size * count;
-  g_autofree char *line = g_strndup (bytes, length);
-  char *colon = strchr (line, ':');
+  size_t length = strlen (name);
 
-  if (exchange->first_byte_us == 0)
-    exchange->first_byte_us = g_get_monotonic_time ();
-  exchange->header_bytes += length;
-  if (exchange->header_bytes > EXCHANGE_HEADER_BYTES_MAX
-      || exchange->answer_headers->len > 2 * EXCHANGE_HEADERS_MAX)
-    return 0;
-  if (g_str_has_prefix (line, "HTTP/"))
-    start_answer_head (exchange);
-  else if (colon != NULL)
+  for (guint i = 0; i < headers->len; i++)
     {
-      *colon = '\0';
-      add_answer_header (exchange, g_strstrip (line), g_strstrip (colon + 1));
+      const char *line = g_ptr_array_index (headers, i);
+      if (g_ascii_strncasecmp (line, name, length) == 0 && line[length] == ':')
+        return true;
     }
-  else if (*line == '\r' || *line == '\n')
-    exchange->head_complete = true;
-  return length;
+  return false;
 }
 
-static size_t
-on_body (char *bytes, size_t size, size_t count, void *data)
+static bool
+states_length (const GsExchangeOptions *options)
 {
-  GsExchange *exchange = data;
-  size_t length = size * count;
-
-  exchange->progress_us = g_get_monotonic_time ();
-  if (exchange->buffer->len - exchange->buffer_read >= GS_EXCHANGE_BUFFER_BYTES)
-    {
-      exchange->paused = true;
-      return CURL_WRITEFUNC_PAUSE;
-    }
-  g_byte_array_append (exchange->buffer, (const guint8 *)bytes, (guint)length);
-  return length;
+  return options->body_length > 0 || strcmp (options->method, "POST") == 0
+         || strcmp (options->method, "PUT") == 0 || strcmp (options->method, "PATCH") == 0;
 }
 
-static void
-set_request (GsExchange *exchange, CURL *easy)
+static GString *
+make_head (const GsExchangeOptions *options)
 {
-  const GsExchangeOptions *options = &exchange->options;
-  g_autofree char *url = g_strdup_printf ("http://%u.%u.%u.%u:%u%s", options->ipv4 >> 24,
-                                          (options->ipv4 >> 16) & 255, (options->ipv4 >> 8) & 255,
-                                          options->ipv4 & 255, options->port, options->target);
+  GString *head = g_string_sized_new (EXCHANGE_HEAD_BYTES);
 
-  curl_easy_reset (easy);
-  exchange->is_head_request = strcmp (options->method, "HEAD") == 0;
-  if (options->body_length > 0 || strcmp (options->method, "POST") == 0)
-    {
-      curl_easy_setopt (easy, CURLOPT_POST, 1L);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)options->body_length);
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, options->body != NULL ? options->body : "");
-    }
-  if (exchange->is_head_request)
-    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
-  else
-    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, options->method);
+  g_string_printf (head, "%s %s HTTP/1.1\r\n", options->method, options->target);
+  if (!has_header (options->headers, "Host"))
+    g_string_append_printf (head, "Host: %u.%u.%u.%u:%u\r\n", options->ipv4 >> 24,
+                            (options->ipv4 >> 16) & 255, (options->ipv4 >> 8) & 255,
+                            options->ipv4 & 255, options->port);
   for (guint i = 0; i < options->headers->len; i++)
-    exchange->headers
-        = curl_slist_append (exchange->headers, g_ptr_array_index (options->headers, i));
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, exchange->headers);
-}
-
-static void
-set_transfer_options (GsExchange *exchange, CURL *easy)
-{
-  uint32_t connect_ms = gs_client_options (exchange->client)->connect_timeout_ms;
-
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
-  curl_easy_setopt (easy, CURLOPT_HTTP_TRANSFER_DECODING, 1L);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
-                    connect_ms != 0 ? (long)connect_ms : (long)EXCHANGE_CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
-  curl_easy_setopt (easy, CURLOPT_PREREQDATA, exchange);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, exchange);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, exchange);
+    append_header_line (head, g_ptr_array_index (options->headers, i));
+  if (states_length (options))
+    g_string_append_printf (head, "Content-Length: %zu\r\n", options->body_length);
+  g_string_append (head, "\r\n");
+  return head;
 }
 
 /* RETURN VALUE: monotonic time until which the idle connection may be used: 4/5 of the server's
@@ -229,20 +150,42 @@
   return g_get_monotonic_time () + idle_ms * GS_US_PER_MS * 4 / 5;
 }
 
+/* RETURN VALUE: whether the answer is to this request. Only the first answer on a connection needs
+ * no proof: on a reused one, a server that answers an earlier request twice would be believed. */
 static bool
-has_no_body (const GsExchange *exchange)
+is_own_answer (const GsExchange *exchange)
 {
-  return exchange->is_head_request || exchange->status == 204 || exchange->status == 304;
+  const GPtrArray *headers = gs_answer_parser_headers (exchange->parser);
+  const char *header = exchange->options.echo_header;
+  bool echoed = false;
+
+  for (guint i = 0; header != NULL && exchange->echo != NULL && i + 1 < headers->len; i += 2)
+    if (g_ascii_strcasecmp (g_ptr_array_index (headers, i), header) == 0)
+      {
+        if (strcmp (g_ptr_array_index (headers, i + 1), exchange->echo) != 0)
+          return false;
+        echoed = true;
+      }
+  return echoed || !exchange->reused_connection;
 }
 
-/* RETURN VALUE: false when the answer names another attempt or request than this one. */
 static bool
-is_own_answer (const GsExchange *exchange)
+is_request_written (const GsExchange *exchange)
+{
+  return exchange->bytes_sent == exchange->head->len + exchange->options.body_length;
+}
+
+/* Whether the connection can carry another request: the answer is whole, the request was written
+ * whole, nothing came after the answer, and the server names the requests that it answers. */
+static bool
+is_connection_reusable (const GsExchange *exchange)
 {
   const char *header = exchange->options.echo_header;
-  const char *named = header != NULL ? gs_exchange_header (exchange, header) : NULL;
 
-  return named == NULL || exchange->echo[0] == '\0' || strcmp (named, exchange->echo) == 0;
+  return exchange->complete && exchange->outcome == GS_OUTCOME_OK && !exchange->surplus
+         && is_request_written (exchange) && gs_answer_parser_keeps_connection (exchange->parser)
+         && header != NULL && exchange->echo != NULL
+         && gs_exchange_header (exchange, header) != NULL;
 }
 
 static GsOutcome
@@ -255,65 +198,235 @@
   return GS_OUTCOME_CLOSED;
 }
 
-/* Whether the end of the answer can be trusted: its length is known, or the client accepts answers
- * that end with their connection. */
-static bool
-is_framed (const GsExchange *exchange)
+static void
+stop_transfer (GsExchange *exchange)
 {
-  return exchange->delimited || has_no_body (exchange)
-         || gs_client_options (exchange->client)->allow_unframed;
+  ev_io_stop (exchange->loop, &exchange->socket_io);
+  ev_timer_stop (exchange->loop, &exchange->limit_timer);
 }
 
 static void
-record_result (GsExchange *exchange, CURLcode result)
+fail (GsExchange *exchange, GsOutcome outcome)
 {
-  long connects = 0;
-
   exchange->finished = true;
-  curl_easy_getinfo (exchange->connection->easy, CURLINFO_RESPONSE_CODE, &exchange->status);
-  curl_easy_getinfo (exchange->connection->easy, CURLINFO_NUM_CONNECTS, &connects);
-  exchange->reused_connection = connects == 0;
-  gs_counter_add (GS_COUNTER_CONNECTS, (uint64_t)connects);
-  if (result == CURLE_OK && !is_own_answer (exchange))
-    exchange->outcome = GS_OUTCOME_TRUNCATED;
-  else if (result == CURLE_OK && is_framed (exchange))
-    exchange->complete = true;
-  else
-    exchange->outcome = result == CURLE_OK ? GS_OUTCOME_TRUNCATED : failure_outcome (exchange);
-  if (exchange->outcome != GS_OUTCOME_CLOSED
-      || gs_client_options (exchange->client)->skip_crash_check)
+  exchange->outcome = outcome;
+}
+
+/* Ends the transfer of an answer that had begun. */
+static void
+discard_answer (GsExchange *exchange, const char *reason)
+{
+  exchange->discard_reason = reason;
+  fail (exchange, GS_OUTCOME_TRUNCATED);
+}
+
+/* The connection was lost, or its end of file cannot be told from a reset. */
+static void
+lose_connection (GsExchange *exchange)
+{
+  GsOutcome outcome = failure_outcome (exchange);
+
+  if (outcome == GS_OUTCOME_TRUNCATED)
+    {
+      discard_answer (exchange,
+                      gs_answer_parser_framing (exchange->parser) == GS_ANSWER_FRAMING_UNKNOWN
+                          ? "head-incomplete"
+                          : "body-incomplete");
+      return;
+    }
+  fail (exchange, outcome);
+  if (outcome != GS_OUTCOME_CLOSED || gs_client_options (exchange->client)->skip_crash_check)
     return;
   exchange->crash_check_running = true;
   ev_timer_start (exchange->loop, &exchange->check_timer);
 }
 
+/* Watches the socket for EVENTS; 0: for none. */
 static void
-fail (GsExchange *exchange, GsOutcome outcome)
+watch_socket (GsExchange *exchange, int events)
 {
-  exchange->finished = true;
-  exchange->outcome = outcome;
+  ev_io_stop (exchange->loop, &exchange->socket_io);
+  if (events == 0)
+    return;
+  ev_io_set (&exchange->socket_io, exchange->connection->socket, events);
+  ev_io_start (exchange->loop, &exchange->socket_io);
 }
 
 static void
-stop_transfer (GsExchange *exchange)
+watch_for_progress (GsExchange *exchange)
 {
-  ev_io_stop (exchange->loop, &exchange->socket_io);
-  ev_timer_stop (exchange->loop, &exchange->transfer_timer);
-  ev_timer_stop (exchange->loop, &exchange->limit_timer);
+  bool writes = !exchange->write_failed && !is_request_written (exchange);
+
+  watch_socket (exchange, (exchange->paused ? 0 : EV_READ) | (writes ? EV_WRITE : 0));
+}
+
+static void
+open_connection (GsExchange *exchange, int64_t now_us)
+{
+  uint32_t connect_ms = gs_client_options (exchange->client)->connect_timeout_ms;
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (exchange->options.port),
+                                 .sin_addr.s_addr = htonl (exchange->options.ipv4) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  int on = 1;
+
+  exchange->connection->socket = fd;
+  exchange->connecting = true;
+  exchange->connect_until_us
+      = now_us
+        + (connect_ms != 0 ? connect_ms : EXCHANGE_CONNECT_TIMEOUT_MS) * (int64_t)GS_US_PER_MS;
+  if (fd < 0 || setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on) != 0
+      || (connect (fd, (struct sockaddr *)&address, sizeof address) != 0 && errno != EINPROGRESS))
+    {
+      fail (exchange, GS_OUTCOME_UNREACHABLE);
+      return;
+    }
+  watch_socket (exchange, EV_WRITE);
+}
+
+/* Replaces a kept connection that its server had closed: nothing of the request was accepted. */
+static void
+reopen_connection (GsExchange *exchange)
+{
+  watch_socket (exchange, 0);
+  gs_connection_free (exchange->connection);
+  exchange->connection = gs_connection_new ();
+  exchange->reused_connection = false;
+  exchange->sent = false;
+  open_connection (exchange, g_get_monotonic_time ());
+}
+
+static ssize_t
+send_part (GsExchange *exchange)
+{
+  size_t head_sent = MIN (exchange->bytes_sent, exchange->head->len);
+  size_t body_sent = exchange->bytes_sent - head_sent;
+  struct iovec parts[2]
+      = { { exchange->head->str + head_sent, exchange->head->len - head_sent },
+          { exchange->options.body_length > 0 ? (char *)exchange->options.body + body_sent : NULL,
+            exchange->options.body_length - body_sent } };
+  struct msghdr message = { .msg_iov = parts, .msg_iovlen = G_N_ELEMENTS (parts) };
+
+  return sendmsg (exchange->connection->socket, &message, MSG_NOSIGNAL);
+}
+
+/* Writes what the socket accepts of the request. */
+static void
+write_request (GsExchange *exchange)
+{
+  ssize_t count = 0;
+
+  exchange->sent = true;
+  while (!is_request_written (exchange) && (count = send_part (exchange)) >= 0)
+    exchange->bytes_sent += (size_t)count;
+  if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    {
+      if (exchange->bytes_sent == 0 && exchange->reused_connection)
+        {
+          reopen_connection (exchange);
+          return;
+        }
+      exchange->sent = exchange->bytes_sent > 0;
+      exchange->write_failed = true; /* the server may have answered before it closed */
+    }
+  watch_for_progress (exchange);
+}
+
+/* Checks an answer whose head is complete. */
+static void
+check_answer_head (GsExchange *exchange)
+{
+  if (!is_own_answer (exchange))
+    discard_answer (exchange, "not-own");
+  else if (gs_answer_parser_framing (exchange->parser) == GS_ANSWER_FRAMING_CLOSE
+           && !gs_client_options (exchange->client)->allow_unframed)
+    discard_answer (exchange, "no-length");
 }
 
-/* Changes to streaming when the buffer is full before the answer is complete. The owner reads the
- * rest. */
+/* Handles LENGTH received bytes. */
 static void
-start_streaming (GsExchange *exchange)
+receive_bytes (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
 {
-  curl_easy_getinfo (exchange->connection->easy, CURLINFO_RESPONSE_CODE, &exchange->status);
-  exchange->state = GS_EXCHANGE_STREAMING;
-  if (is_framed (exchange) && is_own_answer (exchange))
+  bool had_head = gs_answer_parser_state (exchange->parser) != GS_ANSWER_HEAD;
+  size_t consumed = gs_answer_parser_feed (exchange->parser, bytes, length, exchange->buffer);
+  GsAnswerState state = gs_answer_parser_state (exchange->parser);
+
+  if (exchange->first_byte_us == 0)
+    exchange->first_byte_us = now_us;
+  if (state != GS_ANSWER_HEAD)
+    exchange->progress_us = now_us;
+  if (state == GS_ANSWER_MALFORMED)
+    discard_answer (exchange, gs_answer_parser_reason (exchange->parser));
+  else if (!had_head && state != GS_ANSWER_HEAD)
+    check_answer_head (exchange);
+  if (exchange->finished || state != GS_ANSWER_COMPLETE)
     return;
-  fail (exchange, GS_OUTCOME_TRUNCATED);
-  exchange->state = GS_EXCHANGE_FAILED;
-  stop_transfer (exchange);
+  exchange->surplus = consumed < length;
+  exchange->finished = true;
+  exchange->complete = true;
+}
+
+/* The server has closed its side of the connection. */
+static void
+receive_end (GsExchange *exchange)
+{
+  if (!exchange->write_failed)
+    gs_answer_parser_end (exchange->parser);
+  if (gs_answer_parser_state (exchange->parser) != GS_ANSWER_COMPLETE)
+    {
+      lose_connection (exchange);
+      return;
+    }
+  exchange->finished = true;
+  exchange->complete = true;
+}
+
+static size_t
+held_bytes (const GsExchange *exchange)
+{
+  return exchange->buffer->len - exchange->buffer_read;
+}
+
+/* Reads what the socket has, until the buffer is full. */
+static void
+read_answer (GsExchange *exchange)
+{
+  uint8_t bytes[EXCHANGE_READ_BYTES];
+  ssize_t count = 1;
+
+  for (int i = 0; i < EXCHANGE_READS_MAX && !exchange->finished && count > 0; i++)
+    {
+      if (held_bytes (exchange) >= GS_EXCHANGE_BUFFER_BYTES)
+        {
+          exchange->paused = true;
+          watch_for_progress (exchange);
+          return;
+        }
+      count = recv (exchange->connection->socket, bytes, sizeof bytes, 0);
+      if (count > 0)
+        receive_bytes (exchange, bytes, (size_t)count, g_get_monotonic_time ());
+      else if (count == 0)
+        receive_end (exchange);
+      else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+        lose_connection (exchange);
+    }
+}
+
+static void
+end_connecting (GsExchange *exchange)
+{
+  int error = 0;
+  socklen_t size = sizeof error;
+
+  exchange->connecting = false;
+  if (getsockopt (exchange->connection->socket, SOL_SOCKET, SO_ERROR, &error, &size) != 0
+      || error != 0)
+    {
+      fail (exchange, GS_OUTCOME_UNREACHABLE);
+      return;
+    }
+  gs_counter_add (GS_COUNTER_CONNECTS, 1);
+  write_request (exchange);
 }
 
 /* Calls the owner's `done` or `readable` where it is due. The owner may free the exchange. */
@@ -334,23 +447,19 @@
   if (exchange->finished)
     exchange->state = exchange->complete ? GS_EXCHANGE_COMPLETE : GS_EXCHANGE_FAILED;
   else
-    start_streaming (exchange);
+    exchange->state = GS_EXCHANGE_STREAMING; /* the owner reads the rest */
   exchange->options.body = NULL;
   exchange->options.class->done (exchange->options.data);
 }
 
-/* Lets libcurl handle events on SOCKET, and records the result when the transfer has ended. */
+/* Fails with OUTCOME if no answer has begun. */
 static void
-run_transfer (GsExchange *exchange, curl_socket_t socket, int events)
+fail_late (GsExchange *exchange, GsOutcome outcome)
 {
-  int running = 0;
-  int left = 0;
-  CURLMsg *message;
-
-  curl_multi_socket_action (exchange->connection->multi, socket, events, &running);
-  while ((message = curl_multi_info_read (exchange->connection->multi, &left)) != NULL)
-    if (message->msg == CURLMSG_DONE)
-      record_result (exchange, message->data.result);
+  if (exchange->first_byte_us != 0)
+    discard_answer (exchange, "late");
+  else
+    fail (exchange, outcome);
 }
 
 /* Fails the exchange when it has exceeded a time limit. RETURN VALUE: whether it has ended. */
@@ -359,9 +468,11 @@
 {
   int64_t stalled_us = now_us - MAX (exchange->progress_us, exchange->first_byte_us);
 
-  if (exchange->options.deadline_us != 0 && now_us >= exchange->options.deadline_us
-      && exchange->sent)
-    fail (exchange, exchange->first_byte_us != 0 ? GS_OUTCOME_TRUNCATED : GS_OUTCOME_TIMEOUT);
+  if (exchange->connecting && now_us >= exchange->connect_until_us)
+    fail (exchange, GS_OUTCOME_UNREACHABLE);
+  else if (exchange->options.deadline_us != 0 && now_us >= exchange->options.deadline_us
+           && exchange->sent)
+    fail_late (exchange, GS_OUTCOME_TIMEOUT);
   else if (exchange->first_byte_us == 0)
     {
       if (now_us - exchange->started_us < exchange->options.timeout_us)
@@ -372,7 +483,7 @@
         fail (exchange, exchange->reused_connection ? GS_OUTCOME_SILENT : GS_OUTCOME_TIMEOUT);
     }
   else if (stalled_us >= exchange->options.timeout_us && !exchange->paused)
-    fail (exchange, GS_OUTCOME_TRUNCATED);
+    fail_late (exchange, GS_OUTCOME_TIMEOUT);
   return exchange->finished;
 }
 
@@ -382,6 +493,8 @@
 {
   int64_t due_us = exchange->options.timeout_us + exchange->started_us;
 
+  if (exchange->connecting)
+    due_us = MIN (due_us, exchange->connect_until_us);
   if (exchange->first_byte_us != 0)
     due_us = exchange->options.timeout_us
              + (exchange->paused ? now_us : MAX (exchange->progress_us, exchange->first_byte_us));
@@ -422,66 +535,24 @@
     exchange->options.class->late (exchange->options.data);
 }
 
-static void
-continue_transfer (GsExchange *exchange, curl_socket_t socket, int events)
-{
-  if (exchange->finished)
-    return;
-  run_transfer (exchange, socket, events);
-  if (exchange->finished)
-    stop_transfer (exchange);
-  notify_owner (exchange);
-}
-
 static void
 on_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
 {
-  (void)loop;
-  continue_transfer (watcher->data, watcher->fd,
-                     ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
-                         | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0));
-}
+  GsExchange *exchange = watcher->data;
 
-static void
-on_transfer_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
   (void)loop;
-  (void)events;
-  continue_transfer (watcher->data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-/* Called by libcurl with the events it waits for on its socket. */
-static int
-watch_socket (CURL *easy, curl_socket_t socket, int what, void *data, void *socket_data)
-{
-  GsExchange *exchange = data;
-  int events
-      = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0) | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-
-  (void)easy;
-  (void)socket_data;
-  if (what == CURL_POLL_REMOVE && exchange->socket_io.fd != socket)
-    return 0;
-  ev_io_stop (exchange->loop, &exchange->socket_io);
-  if (what == CURL_POLL_REMOVE || events == 0)
-    return 0;
-  ev_io_set (&exchange->socket_io, socket, events);
-  ev_io_start (exchange->loop, &exchange->socket_io);
-  return 0;
-}
-
-static int
-set_transfer_timer (CURLM *multi, long timeout_ms, void *data)
-{
-  GsExchange *exchange = data;
-
-  (void)multi;
-  ev_timer_stop (exchange->loop, &exchange->transfer_timer);
-  if (timeout_ms < 0)
-    return 0;
-  ev_timer_set (&exchange->transfer_timer, (double)timeout_ms / 1000, 0.);
-  ev_timer_start (exchange->loop, &exchange->transfer_timer);
-  return 0;
+  if (exchange->connecting)
+    end_connecting (exchange);
+  else
+    {
+      if ((events & EV_WRITE) != 0)
+        write_request (exchange);
+      if ((events & EV_READ) != 0 && !exchange->connecting)
+        read_answer (exchange);
+    }
+  if (exchange->finished)
+    stop_transfer (exchange);
+  notify_owner (exchange);
 }
 
 /* Ends the crash check of a lost connection. If the upstream still ACCEPTS connections, only the
@@ -552,45 +623,39 @@
 }
 
 static void
-set_watchers (GsExchange *exchange)
+init_watchers (GsExchange *exchange)
 {
-  CURLM *multi = exchange->connection->multi;
-
   ev_io_init (&exchange->socket_io, on_socket_ready, -1, EV_READ);
-  ev_timer_init (&exchange->transfer_timer, on_transfer_timer, 0., 0.);
   ev_timer_init (&exchange->limit_timer, on_limit_timer, 0., 0.);
   ev_io_init (&exchange->check_io, on_check_connected, -1, EV_WRITE);
   ev_timer_init (&exchange->check_timer, on_check_timer, EXCHANGE_CRASH_CHECK_DELAY_S, 0.);
   ev_init (&exchange->deferred_done, on_deferred_done);
   exchange->deferred_done.data = exchange;
   exchange->socket_io.data = exchange;
-  exchange->transfer_timer.data = exchange;
   exchange->limit_timer.data = exchange;
   exchange->check_io.data = exchange;
   exchange->check_timer.data = exchange;
-  curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
-  curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, exchange);
-  curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, set_transfer_timer);
-  curl_multi_setopt (multi, CURLMOPT_TIMERDATA, exchange);
 }
 
 GsExchange *
 gs_exchange_new (GsClient *client, const GsExchangeOptions *options)
 {
   GsExchange *exchange = g_new0 (GsExchange, 1);
+  GsAnswerParserOptions parser = { .head_request = strcmp (options->method, "HEAD") == 0 };
 
   exchange->client = client;
   exchange->loop = gs_client_options (client)->loop;
   exchange->options = *options;
-  g_strlcpy (exchange->echo, options->echo != NULL ? options->echo : "", sizeof exchange->echo);
-  exchange->answer_headers = g_ptr_array_new_with_free_func (g_free);
+  exchange->echo
+      = options->echo != NULL && *options->echo != '\0' ? g_strdup (options->echo) : NULL;
+  exchange->head = make_head (options);
+  exchange->parser = gs_answer_parser_new (&parser);
   exchange->buffer = g_byte_array_new ();
-  exchange->content_length = -1;
-  exchange->connection = gs_client_acquire (client, options->ipv4, options->port);
-  exchange->reused_connection = exchange->connection->connected;
-  set_request (exchange, exchange->connection->easy);
-  set_transfer_options (exchange, exchange->connection->easy);
-  set_watchers (exchange);
+  exchange->connection = options->new_connection
+                             ? gs_connection_new ()
+                             : gs_client_acquire (client, options->ipv4, options->port);
+  exchange->reused_connection = exchange->connection->reused;
+  init_watchers (exchange);
   exchange->options.headers = NULL;
   exchange->options.method = NULL;
   exchange->options.target = NULL;
@@ -604,8 +669,10 @@
   exchange->started_us = g_get_monotonic_time ();
   if (exchange->options.late_us != 0)
     exchange->next_late_us = exchange->started_us + exchange->options.late_us;
-  curl_multi_add_handle (exchange->connection->multi, exchange->connection->easy);
-  run_transfer (exchange, CURL_SOCKET_TIMEOUT, 0);
+  if (exchange->reused_connection)
+    write_request (exchange);
+  else
+    open_connection (exchange, exchange->started_us);
   arm_limit_timer (exchange, exchange->started_us);
   if (exchange->finished)
     ev_feed_event (exchange->loop, &exchange->deferred_done, EV_CUSTOM);
@@ -626,20 +693,19 @@
   return exchange->sent;
 }
 
-/* Detaches the exchange from its connection and returns the connection to the client. */
+/* Returns the connection to the client if it can be reused, and closes it otherwise. */
 static void
 release_connection (GsExchange *exchange)
 {
   GsConnection *connection = exchange->connection;
 
-  connection->connected = exchange->complete && exchange->outcome == GS_OUTCOME_OK;
-  connection->socket = CURL_SOCKET_BAD;
-  curl_easy_getinfo (connection->easy, CURLINFO_ACTIVESOCKET, &connection->socket);
-  curl_multi_remove_handle (connection->multi, connection->easy);
-  curl_multi_setopt (connection->multi, CURLMOPT_SOCKETFUNCTION, NULL);
-  curl_multi_setopt (connection->multi, CURLMOPT_TIMERFUNCTION, NULL);
+  if (!is_connection_reusable (exchange))
+    {
+      gs_connection_free (connection);
+      return;
+    }
   connection->idle_until_us = idle_deadline_us (exchange);
-  gs_client_release (exchange->client, exchange->options.ipv4, exchange->options.port, connection);
+  gs_client_keep (exchange->client, exchange->options.ipv4, exchange->options.port, connection);
 }
 
 void
@@ -649,29 +715,42 @@
     return;
   if (exchange->crash_check_running)
     end_crash_check (exchange, true);
-  release_connection (exchange);
   stop_transfer (exchange);
+  release_connection (exchange);
   ev_clear_pending (exchange->loop, &exchange->deferred_done);
-  curl_slist_free_all (exchange->headers);
-  g_ptr_array_unref (exchange->answer_headers);
+  gs_answer_parser_free (exchange->parser);
+  g_string_free (exchange->head, TRUE);
   g_byte_array_unref (exchange->buffer);
+  g_free (exchange->echo);
   g_free (exchange);
 }
 
+/* Continues to receive after the owner has read all that is held. */
+static void
+resume_reading (GsExchange *exchange)
+{
+  exchange->buffer_read = 0;
+  g_byte_array_set_size (exchange->buffer, 0);
+  if (!exchange->paused)
+    return;
+  exchange->paused = false;
+  exchange->progress_us = g_get_monotonic_time ();
+  watch_for_progress (exchange);
+  arm_limit_timer (exchange, exchange->progress_us);
+  read_answer (exchange);
+  if (exchange->finished)
+    stop_transfer (exchange);
+}
+
 ssize_t
 gs_exchange_read (GsExchange *exchange, char *out, size_t max)
 {
-  size_t held = exchange->buffer->len - exchange->buffer_read;
+  size_t held = held_bytes (exchange);
 
-  if (held == 0 && exchange->paused)
+  if (held == 0 && !exchange->finished)
     {
-      exchange->buffer_read = 0;
-      g_byte_array_set_size (exchange->buffer, 0);
-      exchange->paused = false;
-      exchange->progress_us = g_get_monotonic_time ();
-      curl_easy_pause (exchange->connection->easy, CURLPAUSE_CONT);
-      arm_limit_timer (exchange, exchange->progress_us);
-      held = exchange->buffer->len;
+      resume_reading (exchange);
+      held = held_bytes (exchange);
     }
   if (held == 0 && !exchange->finished)
     return GS_EXCHANGE_READ_PENDING;
@@ -698,7 +777,7 @@
 long
 gs_exchange_status (const GsExchange *exchange)
 {
-  return exchange->status;
+  return gs_answer_parser_status (exchange->parser);
 }
 
 int64_t
@@ -710,9 +789,11 @@
 const char *
 gs_exchange_header (const GsExchange *exchange, const char *name)
 {
-  for (guint i = 0; i + 1 < exchange->answer_headers->len; i += 2)
-    if (g_ascii_strcasecmp (g_ptr_array_index (exchange->answer_headers, i), name) == 0)
-      return g_ptr_array_index (exchange->answer_headers, i + 1);
+  const GPtrArray *headers = gs_answer_parser_headers (exchange->parser);
+
+  for (guint i = 0; i + 1 < headers->len; i += 2)
+    if (g_ascii_strcasecmp (g_ptr_array_index (headers, i), name) == 0)
+      return g_ptr_array_index (headers, i + 1);
   return NULL;
 }
 
@@ -721,10 +802,11 @@
                      void (*visit) (const char *name, const char *value, void *data),
                      void *data)
 {
-  for (guint i = 0; i + 1 < exchange->answer_headers->len; i += 2)
-    if (!gs_header_is_hop_by_hop (g_ptr_array_index (exchange->answer_headers, i)))
-      visit (g_ptr_array_index (exchange->answer_headers, i),
-             g_ptr_array_index (exchange->answer_headers, i + 1), data);
+  const GPtrArray *headers = gs_answer_parser_headers (exchange->parser);
+
+  for (guint i = 0; i + 1 < headers->len; i += 2)
+    if (!gs_header_is_hop_by_hop (g_ptr_array_index (headers, i)))
+      visit (g_ptr_array_index (headers, i), g_ptr_array_index (headers, i + 1), data);
 }
 
 const void *
@@ -737,29 +819,19 @@
 int64_t
 gs_exchange_length (const GsExchange *exchange)
 {
-  return exchange->content_length;
+  return gs_answer_parser_length (exchange->parser);
 }
 
 const char *
 gs_exchange_framing (const GsExchange *exchange)
 {
-  if (!exchange->head_complete)
-    return "unknown";
-  if (has_no_body (exchange))
-    return "no-body";
-  if (exchange->chunked)
-    return "chunked";
-  return exchange->content_length >= 0 ? "length" : "close";
+  return gs_answer_framing_name (gs_answer_parser_framing (exchange->parser));
 }
 
 const char *
 gs_exchange_discard_reason (const GsExchange *exchange)
 {
-  if (!exchange->finished || exchange->complete || exchange->first_byte_us == 0)
-    return NULL;
-  if (!is_own_answer (exchange))
-    return "not-own";
-  return exchange->head_complete ? "body-incomplete" : "head-incomplete";
+  return exchange->discard_reason;
 }
 
 bool
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -1,6 +1,6 @@
 /**
  * NAME
- *   exchange - one HTTP request and its answer over a reusable connection, by libcurl
+ *   exchange - one HTTP/1.1 request and its answer over a reusable connection
  *
  * SYNOPSIS
  *   GsExchange *exchange = gs_exchange_new (client, &options);
@@ -10,13 +10,14 @@
  *   gs_exchange_free (exchange);
  *
  * DESCRIPTION
- *   A connection carries one request at a time. libcurl resends a request on its own when a reused
- * connection turns out to be dead. A CURLOPT_PREREQFUNCTION callback refuses that: a request is
- * sent at most once, and an exchange whose callback was never called has sent nothing.
+ *   A connection carries one request at a time, and a request is sent at most once. An exchange
+ * whose gs_exchange_sent is false has sent nothing.
  *
- *   An answer is complete only when its length or its last chunk has been reached, see also
- * `allow_unframed` of GsClientOptions. After a failure, a timeout or a cancellation the connection
- * is closed. Answers of up to GS_EXCHANGE_BUFFER_BYTES are held in memory; larger ones are
+ *   An answer is complete only when its end is proved (see answer_parser; `allow_unframed` of
+ * GsClientOptions admits answers that end with their connection). It is the answer to this request
+ * only if it echoes `echo`, or if it is the first one on its connection. A connection is kept only
+ * after a complete answer that echoes and that nothing follows; bytes that come later go with the
+ * connection. Answers of up to GS_EXCHANGE_BUFFER_BYTES are held in memory; larger ones are
  * streamed with gs_exchange_read.
  *
  *   A connection that is lost after the request was sent and before the answer began starts a crash
@@ -35,7 +36,6 @@
 enum
 {
   GS_EXCHANGE_BUFFER_BYTES = 1024 * 1024, /**< answers of up to this size are held in memory */
-  GS_EXCHANGE_ECHO_MAX = 64,              /**< bytes of a value that the answer must echo */
 };
 
 typedef struct GsExchange GsExchange;
@@ -58,13 +58,14 @@
   uint16_t port;
   const char *method;
   const char *target; /**< path with query */
-  GPtrArray *headers; /**< "Name: value" */
+  GPtrArray *headers; /**< "Name: value"; Host is added if it is missing */
   const void *body;
   size_t body_length;
   int64_t timeout_us;      /**< limit to the first byte of the answer, then without progress */
   int64_t deadline_us;     /**< monotonic time at which a sent request fails; 0: none */
   const char *echo_header; /**< header by which an answer names its request, static; NULL: none */
-  const char *echo;        /**< value that the header must have where the answer has it */
+  const char *echo;        /**< value that the header has in the answer to this request */
+  bool new_connection;     /**< use none that has carried a request before */
   int64_t late_us;         /**< time after which the answer is late; 0: never */
   int64_t late_interval_us;
   const GsExchangeClass *class;
@@ -81,8 +82,7 @@
 
 GsExchange *gs_exchange_new (GsClient *client, const GsExchangeOptions *options);
 
-/** Ends EXCHANGE and returns its connection to the client, which closes it unless the answer was
- * complete. */
+/** Ends EXCHANGE. Its connection is kept for reuse or closed. */
 void gs_exchange_free (GsExchange *exchange);
 
 /** Sends the request. The event loop receives the answer and calls `done`. */
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -193,12 +193,10 @@
 
 /* Sets the header and value by which an answer names its attempt, or else its request. */
 static void
-set_echo (const GsProxyRequest *request, const GsAttemptEffect *effect, GsExchangeOptions *options)
+set_echo (const GsProxyRequest *request, GsExchangeOptions *options)
 {
   const GsHeaderNames *header_names = request->context->header_names;
 
-  if (effect->forward)
-    return;
   options->echo_header
       = header_names->attempt != NULL ? header_names->attempt : header_names->request_id;
   options->echo = header_names->attempt != NULL ? request->attempt_text : request->event.label;
@@ -430,7 +428,7 @@
                                 .class = &class,
                                 .data = request };
 
-  set_echo (request, effect, &options);
+  set_echo (request, &options);
   if (!request->context->header_names->verdicts)
     options.deadline_us = effect->deadline_us;
   g_clear_pointer (&request->exchange, gs_exchange_free);
--- a/src/gentian/http/request_head.c
+++ b/src/gentian/http/request_head.c
@@ -186,15 +186,21 @@
 }
 
 static void
-add_upstream_headers (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
+add_attempt_number (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
 {
-  const GsHeaderNames *header_names = request->context->header_names;
+  const char *name = request->context->header_names->attempt;
 
   g_snprintf (request->attempt_text, sizeof request->attempt_text, "%" G_GUINT64_FORMAT,
               attempt->attempt);
-  if (header_names->attempt != NULL)
-    g_ptr_array_add (headers,
-                     g_strdup_printf ("%s: %s", header_names->attempt, request->attempt_text));
+  if (name != NULL)
+    g_ptr_array_add (headers, g_strdup_printf ("%s: %s", name, request->attempt_text));
+}
+
+static void
+add_upstream_headers (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
+{
+  const GsHeaderNames *header_names = request->context->header_names;
+
   if (header_names->expected_instance != NULL)
     g_ptr_array_add (headers,
                      g_strdup_printf ("%s: %s", header_names->expected_instance, attempt->target));
@@ -217,9 +223,7 @@
   (void)kind;
   if (!is_forwarded (copy->request->context->header_names, name, copy->attempt->with_permit))
     return MHD_YES;
-  g_ptr_array_add (copy->headers, value != NULL && *value != '\0'
-                                      ? g_strdup_printf ("%s: %s", passed, value)
-                                      : g_strdup_printf ("%s;", passed));
+  g_ptr_array_add (copy->headers, g_strdup_printf ("%s: %s", passed, value != NULL ? value : ""));
   return MHD_YES;
 }
 
@@ -232,11 +236,11 @@
   int64_t left_us = attempt->deadline_us - g_get_monotonic_time ();
 
   MHD_get_connection_values (request->connection, MHD_HEADER_KIND, copy_header, &copy);
-  g_ptr_array_add (headers, g_strdup ("Expect:"));
   g_ptr_array_add (headers, g_strdup_printf ("%s: %" G_GINT64_FORMAT,
                                              attempt->forward ? header_names->caller_timeout
                                                               : header_names->deadline,
                                              MAX (left_us / GS_US_PER_MS, 1)));
+  add_attempt_number (request, attempt, headers);
   if (attempt->forward)
     {
       char signature[GS_SIGNATURE_HEX + 1];
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -109,6 +109,15 @@
   return send_all (fd, text, strlen (text));
 }
 
+/* Echoes the attempt that the response answers. */
+static gboolean
+answer_attempt (int fd, const Request *request, int status, const char *headers, const char *body)
+{
+  g_autofree char *all = g_strdup_printf ("%sGentian-Attempt: %s\r\n", headers, request->attempt);
+
+  return send_response (fd, status, all, body);
+}
+
 static void
 copy_header (const char *head, const char *name, char *out, size_t size)
 {
@@ -329,7 +338,7 @@
   gboolean keep_open = TRUE;
 
   if (!acquire_slot ())
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\n", "no slot\n");
+    return answer_attempt (fd, request, 503, "Gentian-Verdict: not-run\r\n", "no slot\n");
   count_run (request);
   if (g_atomic_int_get (&stuck_requests) < fault (STUCK_SLOTS))
     {
@@ -347,7 +356,7 @@
     keep_open = FALSE;
   else if ((g_random_int_range (0, 100) < fault (FAIL_PERCENT))
            || (fault (FAIL_PREFIX) && g_str_has_prefix (request->path, "/bad")))
-    keep_open = send_response (fd, 500, "", "failed\n");
+    keep_open = answer_attempt (fd, request, 500, "", "failed\n");
   else
     keep_open
         = send_work_response (fd, request) && (!fault (TWICE) || send_work_response (fd, request));
@@ -371,10 +380,10 @@
   if (g_str_has_prefix (request.path, "/health"))
     return send_response (fd, 200, "", "healthy\n");
   if (fault (LEAVING))
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\nGentian-Leaving: true\r\n",
-                          "leaving\n");
+    return answer_attempt (fd, &request, 503,
+                           "Gentian-Verdict: not-run\r\nGentian-Leaving: true\r\n", "leaving\n");
   if (fault (SHED))
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\n", "shed\n");
+    return answer_attempt (fd, &request, 503, "Gentian-Verdict: not-run\r\n", "shed\n");
   if (is_silent (opened_us))
     {
       char byte;
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -109,8 +109,10 @@
 }
 
 static int
-refuse (struct _u_response *response, unsigned int status)
+refuse (struct _u_response *response, unsigned int status, const char *id)
 {
+  if (id != NULL)
+    u_map_put (response->map_header, "Gentianscale-Request-Id", id);
   u_map_put (response->map_header, "Gentianscale-Not-Executed", "1");
   ulfius_set_empty_body_response (response, status);
   return U_CALLBACK_COMPLETE;
@@ -126,11 +128,11 @@
   g_autofree char *body = NULL;
 
   if (expected != NULL && strcmp (expected, upstream->id) != 0)
-    return refuse (response, 421);
+    return refuse (response, 421, id);
   if (id == NULL)
-    return refuse (response, 400);
+    return refuse (response, 400, NULL);
   if (random_percent (upstream->shed))
-    return refuse (response, 503);
+    return refuse (response, 503, id);
   g_atomic_int_inc (&upstream->executed);
   g_atomic_int_inc (&upstream->running);
   g_usleep ((gulong)upstream->work_ms * 1000);
