Pass on large failures whole

Cause: an answer larger than the daemon's buffer was streamed only if it was a success. A failure was reported to the reducer with its body in part, and send_answer sent what the buffer held as the whole body; cache_answer kept that part for resends.

Evidence: test_verdicts on the code before, through either daemon: not ok and its body is whole, through daemon 1: test 1058875 -gt 3000000 not ok a large failure that is truncated aborts the caller's connection: found '500', expected '000'

Change: the answer that the reducer passes on is streamed whenever its transfer is not finished; only complete answers are cached.

Measured: test_verdicts all ok.

--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -220,20 +220,33 @@
   MHD_add_response_header (data, name, joined != NULL ? joined : value);
 }
 
+static void
+add_answer_headers (const GsProxyRequest *request, struct MHD_Response *response)
+{
+  gs_exchange_headers (request->exchange, add_header, response);
+  if (gs_exchange_status (request->exchange) >= 500 && request->context->header_names->verdicts
+      && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
+    MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+}
+
+static void start_streaming (GsProxyRequest *request);
+
 static void
 send_answer (GsProxyRequest *request)
 {
   size_t length;
   const void *body = gs_exchange_body (request->exchange, &length);
   long status = gs_exchange_status (request->exchange);
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response;
 
+  if (gs_exchange_state (request->exchange) == GS_EXCHANGE_STREAMING)
+    {
+      start_streaming (request); /* only a part of the body is in memory */
+      return;
+    }
+  response = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
   gs_counter_add (GS_COUNTER_ANSWERS, 1);
-  gs_exchange_headers (request->exchange, add_header, response);
-  if (status >= 500 && request->context->header_names->verdicts
-      && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
-    MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  add_answer_headers (request, response);
   /* Other requests may use the connection from here on. */
   g_clear_pointer (&request->exchange, gs_exchange_free);
   set_answer (request, (unsigned int)status, response);
@@ -306,7 +319,7 @@
 
   gs_engine_post (request->context->engine, &event);
   request->streaming = true;
-  gs_exchange_headers (request->exchange, add_header, response);
+  add_answer_headers (request, response);
   set_answer (request, (unsigned int)gs_exchange_status (request->exchange), response);
 }
 
@@ -381,7 +394,7 @@
     {
       outcome = classify (request, effect);
       report_leaving (request, effect->target);
-      if (effect->cache_answer)
+      if (effect->cache_answer && state == GS_EXCHANGE_COMPLETE)
         cache_answer (request, outcome);
     }
   report_attempt_end (request, outcome);
--- a/test/functional/test_verdicts.sh
+++ b/test/functional/test_verdicts.sh
@@ -35,6 +35,16 @@
   request $daemon headers /size/5 >"$DIR/out"
   equal "repeated response headers are passed on repeated or joined, through daemon $daemon" "$(grep -ic '^set-cookie: [abc]=' "$DIR/head") $(tr -d '\r' <"$DIR/head" | grep -i '^vary')" "3 Vary: x, y"
 done
+# A failure larger than the daemon's buffer must not be cut to what the buffer holds and sent as whole.
+backend_control 0 fail_percent=100
+for daemon in 1 2; do
+  equal "a large failure is passed on, through daemon $daemon" "$(request $daemon bigfail-$daemon /once/big/3000000 -d x | cut -d' ' -f1)" 500
+  check "and its body is whole, through daemon $daemon" test "$(wc -c <"$DIR/body")" -gt 3000000
+  sleep 0.7
+done
+backend_control 0 fail_percent=100; backend_control 0 truncate=1
+equal "a large failure that is truncated aborts the caller's connection" "$(request 1 bigfail /once/big/3000000 -d x | cut -d' ' -f1)" 000
+backend_control 0 fail_percent=0; backend_control 0 truncate=0
 backend_control 0 truncate=1
 equal "a large answer that is truncated aborts the caller's connection" "$(request 1 big /big/3000000 | cut -d' ' -f1)" 000
 backend_control 0 truncate=0
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -36,7 +36,7 @@
 
 enum
 {
-  FAIL_PERCENT,  /* share of requests that get status 500; health checks still pass */
+  FAIL_PERCENT,  /* share of requests that get status 500, also large ones; health checks pass */
   SLOW_FACTOR,   /* multiplies the service time */
   SILENT,        /* 1: never respond; 2: never respond on connections opened before this was set */
   RESET_PERCENT, /* share of requests after which the connection closes without a response */
@@ -297,7 +297,7 @@
  * number of fill bytes that the path asks for.
  */
 static gboolean
-send_work_response (int fd, const Request *request)
+send_work_response (int fd, const Request *request, int status)
 {
   size_t size = 0;
   g_autofree char *line
@@ -309,15 +309,16 @@
   size_t send_limit;
 
   if (sscanf (request->path, "/size/%zu", &size) != 1
-      && sscanf (request->path, "/big/%zu", &size) != 1)
+      && sscanf (request->path, "/big/%zu", &size) != 1
+      && sscanf (request->path, "/once/big/%zu", &size) != 1)
     size = 0;
   total = strlen (line) + size;
   send_limit = fault (TRUNCATE) ? total / 2 : total;
   head = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\nServed-By: %s\r\n"
+      "HTTP/1.1 %d X\r\nContent-Length: %zu\r\nServed-By: %s\r\n"
       "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\nVary: x\r\nVary: y\r\n"
       "Gentian-Attempt: %s\r\nNotes-Seen: %d\r\n\r\n",
-      total, server_id, request->attempt, request->note_headers);
+      status, total, server_id, request->attempt, request->note_headers);
   if (!send_all (fd, head, strlen (head)) || !send_all (fd, line, MIN (strlen (line), send_limit)))
     return FALSE;
   memset (block, 'a' + (int)(strlen (request->path) % 26), sizeof block);
@@ -356,10 +357,12 @@
     keep_open = FALSE;
   else if ((g_random_int_range (0, 100) < fault (FAIL_PERCENT))
            || (fault (FAIL_PREFIX) && g_str_has_prefix (request->path, "/bad")))
-    keep_open = answer_attempt (fd, request, 500, "", "failed\n");
+    keep_open = strstr (request->path, "/big/") != NULL
+                    ? send_work_response (fd, request, 500)
+                    : answer_attempt (fd, request, 500, "", "failed\n");
   else
-    keep_open
-        = send_work_response (fd, request) && (!fault (TWICE) || send_work_response (fd, request));
+    keep_open = send_work_response (fd, request, 200)
+                && (!fault (TWICE) || send_work_response (fd, request, 200));
   release_slot ();
   return keep_open;
 }
