Drop a repeated earlier answer and await the own one behind it

What callers saw: 502 for a request that its upstream answered, when the answer to the request before it on the kept connection came once more, late.

Cause: an answer that names another request ended the exchange.

Change: such an answer, if its end is stated, is dropped whole, and the next one on the connection is read. Only an answer that names this request counts, and the connection is not kept afterwards. Not on a connection that has carried a HEAD request: the length in its answer says nothing about what follows.

--- a/src/gentian/http/client.h
+++ b/src/gentian/http/client.h
@@ -32,6 +32,7 @@
 {
   int socket;            /**< -1: not opened */
   bool reused;           /**< it has carried an exchange before */
+  bool had_head_request; /**< one of these was a HEAD request */
   int64_t idle_until_us; /**< monotonic time until which it may be reused */
 } GsConnection;
 
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -16,6 +16,7 @@
 {
   EXCHANGE_HEAD_BYTES = 1024,         /* reserved for the head of a request */
   EXCHANGE_READ_BYTES = 16 * 1024,    /* read from a socket at once */
+  EXCHANGE_SKIPPED_MAX = 4,           /* answers to earlier requests on one connection */
   EXCHANGE_READS_MAX = 16,            /* before the loop handles other events */
   EXCHANGE_CONNECT_TIMEOUT_MS = 1000, /* where the client's options set none */
   EXCHANGE_TIMER_MIN_US = 500,        /* shortest delay for which the limit timer is armed */
@@ -46,9 +47,12 @@
   bool sent;         /* bytes of the request may have been sent */
   bool write_failed; /* an end of file may be the rest of a reset that the write consumed */
   bool surplus;      /* bytes came after the end of the answer */
-  bool paused;       /* receiving is paused because the buffer is full */
-  bool finished;     /* the transfer has ended, completely or not */
-  bool complete;     /* the transfer has ended with a complete answer */
+  bool is_head_request;
+  bool skipping;      /* the answer being received is to an earlier request */
+  uint32_t n_skipped; /* answers to earlier requests that were dropped */
+  bool paused;        /* receiving is paused because the buffer is full */
+  bool finished;      /* the transfer has ended, completely or not */
+  bool complete;      /* the transfer has ended with a complete answer */
   bool reused_connection;
   char *echo;
   const char *discard_reason; /* why the answer that had begun is not used */
@@ -150,23 +154,29 @@
   return g_get_monotonic_time () + idle_ms * GS_US_PER_MS * 4 / 5;
 }
 
-/* RETURN VALUE: whether the answer is to this request. Only the first answer on a connection needs
- * no proof: on a reused one, a server that answers an earlier request twice would be believed. */
-static bool
-is_own_answer (const GsExchange *exchange)
+/* Whose answer it is, by the header that echoes a value of the request. */
+typedef enum
+{
+  ANSWER_UNNAMED = 0,
+  ANSWER_OWN,
+  ANSWER_FOREIGN,
+} AnswerOwner;
+
+static AnswerOwner
+answer_owner (const GsExchange *exchange)
 {
   const GPtrArray *headers = gs_answer_parser_headers (exchange->parser);
   const char *header = exchange->options.echo_header;
-  bool echoed = false;
+  AnswerOwner owner = ANSWER_UNNAMED;
 
   for (guint i = 0; header != NULL && exchange->echo != NULL && i + 1 < headers->len; i += 2)
     if (g_ascii_strcasecmp (g_ptr_array_index (headers, i), header) == 0)
       {
         if (strcmp (g_ptr_array_index (headers, i + 1), exchange->echo) != 0)
-          return false;
-        echoed = true;
+          return ANSWER_FOREIGN;
+        owner = ANSWER_OWN;
       }
-  return echoed || !exchange->reused_connection;
+  return owner;
 }
 
 static bool
@@ -183,9 +193,9 @@
   const char *header = exchange->options.echo_header;
 
   return exchange->complete && exchange->outcome == GS_OUTCOME_OK && !exchange->surplus
-         && is_request_written (exchange) && gs_answer_parser_keeps_connection (exchange->parser)
-         && header != NULL && exchange->echo != NULL
-         && gs_exchange_header (exchange, header) != NULL;
+         && exchange->n_skipped == 0 && is_request_written (exchange)
+         && gs_answer_parser_keeps_connection (exchange->parser) && header != NULL
+         && exchange->echo != NULL && gs_exchange_header (exchange, header) != NULL;
 }
 
 static GsOutcome
@@ -332,20 +342,51 @@
   watch_for_progress (exchange);
 }
 
-/* Checks an answer whose head is complete. */
+/* Whether the end of an answer to an earlier request is known, so that the own answer can follow.
+ * The length in an answer to HEAD is not the length of what follows. */
+static bool
+is_skippable (const GsExchange *exchange)
+{
+  return exchange->reused_connection && !exchange->connection->had_head_request
+         && !exchange->is_head_request && exchange->n_skipped < EXCHANGE_SKIPPED_MAX
+         && gs_answer_parser_framing (exchange->parser) != GS_ANSWER_FRAMING_CLOSE;
+}
+
+/* Checks an answer whose head is complete. Only the first answer on a connection needs no proof: on
+ * a reused one, a server that answers an earlier request twice would be believed. */
 static void
 check_answer_head (GsExchange *exchange)
 {
-  if (!is_own_answer (exchange))
+  AnswerOwner owner = answer_owner (exchange);
+  GsAnswerFraming framing = gs_answer_parser_framing (exchange->parser);
+
+  if (owner == ANSWER_FOREIGN && is_skippable (exchange))
+    exchange->skipping = true;
+  else if (owner == ANSWER_FOREIGN || (owner == ANSWER_UNNAMED && exchange->reused_connection))
     discard_answer (exchange, "not-own");
-  else if (gs_answer_parser_framing (exchange->parser) == GS_ANSWER_FRAMING_CLOSE
+  else if (framing == GS_ANSWER_FRAMING_CLOSE
            && !gs_client_options (exchange->client)->allow_unframed)
     discard_answer (exchange, "no-length");
 }
 
-/* Handles LENGTH received bytes. */
+/* Drops the answer to an earlier request, which the server has sent once more, when it is complete.
+ * The answer to this request can follow it. */
 static void
-receive_bytes (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
+end_skipped_answer (GsExchange *exchange)
+{
+  GsAnswerParserOptions options = { .head_request = exchange->is_head_request };
+
+  exchange->skipping = false;
+  exchange->n_skipped++;
+  exchange->first_byte_us = 0;
+  gs_counter_add (GS_COUNTER_ANSWERS_SKIPPED, 1);
+  gs_answer_parser_free (exchange->parser);
+  exchange->parser = gs_answer_parser_new (&options);
+}
+
+/* Handles the bytes of one answer. RETURN VALUE: number of bytes that belong to it. */
+static size_t
+receive_part (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
 {
   bool had_head = gs_answer_parser_state (exchange->parser) != GS_ANSWER_HEAD;
   size_t consumed = gs_answer_parser_feed (exchange->parser, bytes, length, exchange->buffer);
@@ -359,11 +400,31 @@
     discard_answer (exchange, gs_answer_parser_reason (exchange->parser));
   else if (!had_head && state != GS_ANSWER_HEAD)
     check_answer_head (exchange);
-  if (exchange->finished || state != GS_ANSWER_COMPLETE)
-    return;
-  exchange->surplus = consumed < length;
-  exchange->finished = true;
-  exchange->complete = true;
+  if (exchange->skipping)
+    g_byte_array_set_size (exchange->buffer, 0);
+  return consumed;
+}
+
+/* Handles LENGTH received bytes. */
+static void
+receive_bytes (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
+{
+  while (length > 0 && !exchange->finished)
+    {
+      size_t consumed = receive_part (exchange, bytes, length, now_us);
+      bytes += consumed;
+      length -= consumed;
+      if (exchange->finished || gs_answer_parser_state (exchange->parser) != GS_ANSWER_COMPLETE)
+        continue;
+      if (exchange->skipping)
+        {
+          end_skipped_answer (exchange);
+          continue;
+        }
+      exchange->surplus = length > 0;
+      exchange->finished = true;
+      exchange->complete = true;
+    }
 }
 
 /* The server has closed its side of the connection. */
@@ -643,6 +704,7 @@
   GsExchange *exchange = g_new0 (GsExchange, 1);
   GsAnswerParserOptions parser = { .head_request = strcmp (options->method, "HEAD") == 0 };
 
+  exchange->is_head_request = parser.head_request;
   exchange->client = client;
   exchange->loop = gs_client_options (client)->loop;
   exchange->options = *options;
@@ -705,6 +767,7 @@
       return;
     }
   connection->idle_until_us = idle_deadline_us (exchange);
+  connection->had_head_request = connection->had_head_request || exchange->is_head_request;
   gs_client_keep (exchange->client, exchange->options.ipv4, exchange->options.port, connection);
 }
 
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -15,10 +15,11 @@
  *
  *   An answer is complete only when its end is proved (see answer_parser; `allow_unframed` of
  * GsClientOptions admits answers that end with their connection). It is the answer to this request
- * only if it echoes `echo`, or if it is the first one on its connection. A connection is kept only
- * after a complete answer that echoes and that nothing follows; bytes that come later go with the
- * connection. Answers of up to GS_EXCHANGE_BUFFER_BYTES are held in memory; larger ones are
- * streamed with gs_exchange_read.
+ * only if it echoes `echo`, or if it is the first one on its connection. An answer that names an
+ * earlier request of the connection is dropped, and the own one is awaited behind it. A connection
+ * is kept only after a complete answer that echoes and that nothing precedes or follows; bytes that
+ * come later go with the connection. Answers of up to GS_EXCHANGE_BUFFER_BYTES are held in memory;
+ * larger ones are streamed with gs_exchange_read.
  *
  *   A connection that is lost after the request was sent and before the answer began starts a crash
  * check: another connection to the upstream is attempted. The outcome is GS_OUTCOME_CRASHED if that
--- a/src/gentian/log/counter.h
+++ b/src/gentian/log/counter.h
@@ -25,6 +25,8 @@
      "answers aborted because they were incomplete")                                               \
   X (ANSWERS_DISCARDED, "gentian_answers_discarded_total",                                         \
      "answers of upstreams not used: incomplete, malformed or of another request")                 \
+  X (ANSWERS_SKIPPED, "gentian_answers_skipped_total",                                             \
+     "answers that upstreams sent once more, dropped before the awaited one")                      \
   X (ANSWERS_BY_CLOSE, "gentian_answers_by_close_total",                                           \
      "answers of upstreams that ended with their connection")                                      \
   X (REQUESTS_CUT, "gentian_requests_cut_total", "requests in flight when the process ended")      \
