Send a request again to the same address on a new connection

Where answers echo the request's id and not the attempt's number, a refusal of the first attempt that comes once more on the kept connection passes for the answer to the second attempt.

Change: an attempt at an address where the request may have been before uses no kept connection.

--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -420,6 +420,23 @@
   gs_engine_post (request->context->engine, &event);
 }
 
+/* RETURN VALUE: whether the request may have been sent to the address before, which is noted. An
+ * answer names the request, not the attempt, where the platform's header names are used: on the
+ * same connection the answer to the first attempt could be taken for that to the second. */
+static bool
+note_address (GsProxyRequest *request, const GsAttemptEffect *effect)
+{
+  uint64_t address = (uint64_t)effect->ipv4 << 16 | effect->port;
+
+  for (uint32_t i = 0; i < request->n_addresses; i++)
+    if (request->addresses[i] == address)
+      return true;
+  if (request->n_addresses == GS_PROXY_REQUEST_ADDRESSES_MAX)
+    return true;
+  request->addresses[request->n_addresses++] = address;
+  return false;
+}
+
 static void
 start_attempt (GsProxyRequest *request)
 {
@@ -438,6 +455,7 @@
                                 .timeout_us = effect->timeout_us,
                                 .late_us = effect->late_us,
                                 .late_interval_us = PROXY_REQUEST_LATE_INTERVAL_US,
+                                .new_connection = note_address (request, effect),
                                 .class = &class,
                                 .data = request };
 
--- a/src/gentian/http/proxy_request.h
+++ b/src/gentian/http/proxy_request.h
@@ -22,6 +22,7 @@
 {
   GS_PROXY_REQUEST_HOST_MAX = 256,
   GS_PROXY_REQUEST_CACHE_KEY_MAX = GS_TICKET_TEXT_MAX + 16,
+  GS_PROXY_REQUEST_ADDRESSES_MAX = 8, /* at which a request is known to have been */
 };
 
 typedef struct GsProxyRequest GsProxyRequest;
@@ -50,11 +51,13 @@
   int64_t received_us; /**< monotonic time at which the request was complete */
   GsRequestEvent event;
   char host[GS_PROXY_REQUEST_HOST_MAX];
-  char cache_key[GS_PROXY_REQUEST_CACHE_KEY_MAX]; /**< in the answer cache; empty: not cached */
-  uint64_t engine_id;                             /**< number at the engine; 0: not opened */
-  GQueue effects;                                 /**< of GsEffect, not executed yet */
-  GsEffect attempt;                               /**< the current attempt */
-  GsExchange *exchange;                           /**< of the last attempt */
+  char cache_key[GS_PROXY_REQUEST_CACHE_KEY_MAX];     /**< in the answer cache; empty: not cached */
+  uint64_t engine_id;                                 /**< number at the engine; 0: not opened */
+  GQueue effects;                                     /**< of GsEffect, not executed yet */
+  GsEffect attempt;                                   /**< the current attempt */
+  GsExchange *exchange;                               /**< of the last attempt */
+  uint64_t addresses[GS_PROXY_REQUEST_ADDRESSES_MAX]; /**< of its attempts so far */
+  uint32_t n_addresses;
   bool attempt_running;
   bool late_reported;            /**< the reducer knows that the current attempt is late */
   bool attempted;                /**< the first attempt has started */
