Reset an HTTP/1.0 caller whose answer was broken off

Cause: to an HTTP/1.0 caller an answer of unknown length is sent up to the end of the connection, and libmicrohttpd ends a broken one by shutdown and close.

Evidence: test_endless before the change, for chunked and unframed answers: an HTTP/1.0 caller sees an incomplete answer: found '0', expected '56'

Change: the connection is dissolved, which sends a reset.

Measured: test_endless, exit code 56 of curl (receive failure) for both.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -241,12 +241,12 @@
 
   (void)data;
   (void)url;
-  (void)version;
   if (!request->head_received)
     {
       request->head_received = true;
       request->connection = connection;
       request->method = g_strdup (method);
+      request->http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       return MHD_YES;
     }
   if (*upload_length > 0)
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../log/counter.h"
 #include "../log/histogram.h"
@@ -282,6 +283,19 @@
   gs_cached_answer_clear (&answer);
 }
 
+/* Resets the caller's connection where an orderly close would be the end of a complete answer: the
+ * caller was told no length and does not know chunks. */
+static void
+reset_unframed (const GsProxyRequest *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  if (request->http_1_0 && gs_exchange_length (request->exchange) < 0 && info != NULL)
+    connect (info->connect_fd, &none, sizeof none);
+}
+
 /* Passes on what has been received; suspends the connection until there is more. */
 static ssize_t
 read_stream (void *data, uint64_t offset, char *out, size_t max)
@@ -303,6 +317,7 @@
       return 0;
     }
   request->stream_failed = true;
+  reset_unframed (request);
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
--- a/test/functional/test_endless.sh
+++ b/test/functional/test_endless.sh
@@ -48,7 +48,12 @@
   at_most "$kind: time to the end of the answer, in ms" "$ELAPSED_MS" 2500
   check "$kind: the connection is closed" wait_for 2 grep -q "^$kind " "$DIR/endless.out"
 done
-closed_twice () { [ "$(grep -c "^chunked " "$DIR/endless.out")" = 2 ]; }
+# An HTTP/1.0 caller gets no length and no chunks: only a reset tells it that the answer was broken off.
+for kind in chunked unframed; do
+  try $kind -0
+  equal "$kind: an HTTP/1.0 caller sees an incomplete answer" "$EXIT" 56
+done
+closed_twice () { [ "$(grep -c "^chunked " "$DIR/endless.out")" = 3 ]; }
 try chunked --limit-rate 20k -m 1
 check "a caller that reads slowly and disconnects: the connection is closed" wait_for 2 closed_twice
 at_most "growth of the daemon's resident memory, in KB" $(($(resident_kb) - before)) 16000
