--- a/src/gentian/http/request_head.c
+++ b/src/gentian/http/request_head.c
@@ -128,11 +128,28 @@
   return counted.count > 1;
 }
 
+/* Whether the request line can be sent as it is. A blank or a control character would let an
+ * upstream read another request than this one. */
+static bool
+is_request_line_valid (const GsProxyRequest *request)
+{
+  for (const uint8_t *byte = (const uint8_t *)request->target; *byte != '\0'; byte++)
+    if (*byte <= ' ' || *byte == 0x7f)
+      return false;
+  for (const char *byte = request->method; *byte != '\0'; byte++)
+    if (!g_ascii_isalnum (*byte) && *byte != '-' && *byte != '_')
+      return false;
+  return *request->target == '/' && *request->method != '\0';
+}
+
 const char *
 gs_request_head_parse (GsProxyRequest *request)
 {
   const char *reason;
 
+  if (!is_request_line_valid (request))
+    return "bad-request-line";
+
   if (is_repeated (request, "Host")
       || is_repeated (request, request->context->header_names->request_id))
     return "repeated-header";
--- a/test/functional/test_input.sh
+++ b/test/functional/test_input.sh
@@ -33,6 +33,11 @@
   check "a header that is sent three times reaches the backend server three times, through daemon $n" grep -qi "^Notes-Seen: 3" "$DIR/head"
 done
 equal "two Host headers are refused" "$(raw $((PORTS + 201)) 'GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n')" "HTTP/1.1 400 Bad Request"
+# Passed on as it is, such a request line could be read as another one by the upstream.
+for target in '/a b' '/a\tb' '/a\x01b' 'a' '*'; do
+  equal "a request line with the target '$target' is refused" "$(raw $((PORTS + 201)) "GET $target HTTP/1.1\r\nHost: h\r\n\r\n" | grep -c '^HTTP/1.1 400')" 1
+done
+equal "a method with a colon is refused" "$(raw $((PORTS + 201)) 'G:T / HTTP/1.1\r\nHost: h\r\n\r\n' | grep -c '^HTTP/1.1 400')" 1
 for i in 1 2 3; do head -c 4000 /dev/urandom >"/dev/tcp/127.0.0.1/$((PORTS + 401))"; done 2>/dev/null
 curl -s --noproxy '*' -X POST --data-binary 'not msgpack' "http://$PLATFORM/v1/streams/config/records" >/dev/null
 printf '\x92\x63\x01' | curl -s --noproxy '*' -X POST --data-binary @- "http://$PLATFORM/v1/streams/config/records" >/dev/null
