Refuse a status line behind the beginning of another line

Change: a line that has a status line behind its beginning is malformed, and a repeated answer whose body contains the beginning of one ends the exchange.

--- a/src/gentian/http/answer_parser.c
+++ b/src/gentian/http/answer_parser.c
@@ -278,6 +278,19 @@
   parser->part = parser->left_bytes > 0 ? PART_CHUNK_DATA : PART_TRAILER;
 }
 
+/* Whether a status line follows the beginning of another line: the server broke off one answer and
+ * sent the next behind it. */
+static bool
+has_joined_status_line (const char *line)
+{
+  const char *next = *line != '\0' ? strstr (line + 1, "HTTP/1.") : NULL;
+
+  for (; next != NULL; next = strstr (next + 1, "HTTP/1."))
+    if (g_ascii_isdigit (next[7]) && next[8] == ' ' && strspn (&next[9], DIGITS) == 3)
+      return true;
+  return false;
+}
+
 /* Parses the current line, which has been received with its line feed. */
 static void
 parse_line (GsAnswerParser *parser)
@@ -302,6 +315,8 @@
     parser->state = GS_ANSWER_COMPLETE;
   else
     end_head (parser);
+  if (parser->state != GS_ANSWER_MALFORMED && has_joined_status_line (line->str))
+    refuse (parser, "joined-answers");
   g_string_truncate (line, 0);
 }
 
--- a/src/gentian/http/answer_parser.h
+++ b/src/gentian/http/answer_parser.h
@@ -20,7 +20,8 @@
  *   Whatever is ambiguous is malformed, because the two sides could disagree on where the answer
  * ends: a repeated or invalid Content-Length, a length beside Transfer-Encoding, a transfer coding
  * other than `chunked`, a body stated for a status that has none, lines that do not end with CRLF,
- * folded lines, names with other characters than those of a token, an unexpected status 101.
+ * folded lines, a status line behind the beginning of another line, names with other characters
+ * than those of a token, an unexpected status 101.
  */
 #ifndef GS_ANSWER_PARSER_H
 #define GS_ANSWER_PARSER_H
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -17,6 +17,7 @@
   EXCHANGE_HEAD_BYTES = 1024,         /* reserved for the head of a request */
   EXCHANGE_READ_BYTES = 16 * 1024,    /* read from a socket at once */
   EXCHANGE_SKIPPED_MAX = 4,           /* answers to earlier requests on one connection */
+  EXCHANGE_SKIPPED_BYTES_MAX = 65536, /* of the body of one of them */
   EXCHANGE_READS_MAX = 16,            /* before the loop handles other events */
   EXCHANGE_CONNECT_TIMEOUT_MS = 1000, /* where the client's options set none */
   EXCHANGE_TIMER_MIN_US = 500,        /* shortest delay for which the limit timer is armed */
@@ -370,12 +371,22 @@
 }
 
 /* Drops the answer to an earlier request, which the server has sent once more, when it is complete.
- * The answer to this request can follow it. */
+ * The answer to this request can follow it, but not if a part of it has been read as the dropped
+ * one's body: where the server broke that off and went on. */
 static void
 end_skipped_answer (GsExchange *exchange)
 {
   GsAnswerParserOptions options = { .head_request = exchange->is_head_request };
+  static const char status_line[] = "HTTP/1.";
 
+  if (exchange->buffer->len > 0
+      && memmem (exchange->buffer->data, exchange->buffer->len, status_line, strlen (status_line))
+             != NULL)
+    {
+      discard_answer (exchange, "not-own");
+      return;
+    }
+  g_byte_array_set_size (exchange->buffer, 0);
   exchange->skipping = false;
   exchange->n_skipped++;
   exchange->first_byte_us = 0;
@@ -400,8 +411,8 @@
     discard_answer (exchange, gs_answer_parser_reason (exchange->parser));
   else if (!had_head && state != GS_ANSWER_HEAD)
     check_answer_head (exchange);
-  if (exchange->skipping)
-    g_byte_array_set_size (exchange->buffer, 0);
+  if (exchange->skipping && exchange->buffer->len > EXCHANGE_SKIPPED_BYTES_MAX)
+    discard_answer (exchange, "not-own");
   return consumed;
 }
 
