--- a/src/gentian/core/log_event.h
+++ b/src/gentian/core/log_event.h
@@ -42,6 +42,7 @@
   X (LATE_ATTEMPT_KEPT, 2110, GS_LOG_LEVEL_INFO, "late-attempt-kept")                              \
   X (ANSWER_DISCARDED, 2111, GS_LOG_LEVEL_NOTICE, "answer-discarded")                              \
   X (ANSWER_ENDED_BY_CLOSE, 2112, GS_LOG_LEVEL_INFO, "answer-ended-by-close")                      \
+  X (CALLER_RESET, 2113, GS_LOG_LEVEL_NOTICE, "caller-reset")                                      \
   X (BELIEF_CHANGED, 3105, GS_LOG_LEVEL_NOTICE, "upstream-belief-changed")                         \
   X (REGISTRATION_CHANGED, 3106, GS_LOG_LEVEL_NOTICE, "registration-changed")                      \
   X (RETRY_BUDGET_REACHED, 3108, GS_LOG_LEVEL_NOTICE, "repeat-budget-reached")                     \
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -1,5 +1,6 @@
 #include "proxy_request.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -292,8 +293,11 @@
       = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   struct sockaddr none = { .sa_family = AF_UNSPEC };
 
-  if (request->http_1_0 && gs_exchange_length (request->exchange) < 0 && info != NULL)
-    connect (info->connect_fd, &none, sizeof none);
+  if (!request->http_1_0 || gs_exchange_length (request->exchange) >= 0 || info == NULL)
+    return;
+  gs_log (GS_LOG_EVENT_CALLER_RESET, "request=%" G_GUINT64_FORMAT " upstream=%s result=%s",
+          request->engine_id, request->attempt.attempt.target,
+          connect (info->connect_fd, &none, sizeof none) == 0 ? "reset" : g_strerror (errno));
 }
 
 /* Passes on what has been received; suspends the connection until there is more. */
