--- a/test/fuzz/fuzz_answers.c
+++ b/test/fuzz/fuzz_answers.c
@@ -1,13 +1,18 @@
 /* Fuzzes the parser of answers: the result does not depend on how the bytes are split, and bytes
  * after an answer have no influence on it. The first byte of the input chooses the request's method
- * and the start of the answer, the second one the split. */
+ * and the start of the answer, the second one the split; of the others, those from 0x80 on stand
+ * for a fragment each. */
 #include "../unit/answer_reading.h"
 
+#define FIRST_FRAGMENT 0x80
+
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-/* Most random bytes are no status line. */
+/* Random bytes alone hardly ever make a complete head. */
 static const char *const starts[] = {
   "",
+  "HTTP/1.1 ",
+  "HTTP/1.0 ",
   "HTTP/1.1 200 OK\r\n",
   "HTTP/1.0 200 OK\r\n",
   "HTTP/1.1 103\r\n",
@@ -17,11 +22,45 @@
   "HTTP/1.1 200 OK\r\nTransfer-Encoding:",
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=b\r\nabcd\r\n",
-  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
   "HTTP/1.1 200 OK\r\nConnection:",
 };
 
+static const char *const fragments[] = {
+  "\r\n",
+  "\r\n\r\n",
+  "HTTP/1.1 200 OK\r\n",
+  "HTTP/1.1 100\r\n\r\n",
+  "101",
+  "204",
+  "304",
+  "A: b\r\n",
+  "Content-Length: 5\r\n",
+  "Transfer-Encoding: chunked\r\n",
+  "chunked",
+  "Connection: close\r\n",
+  "keep-alive",
+  "5\r\nhello\r\n",
+  "2;a=b\r\n",
+  "0\r\n",
+  "0\r\n\r\n",
+  "000000000000000",
+  ": ",
+  "\xff",
+};
+
+static GString *
+expand (const uint8_t *data, size_t size, const char *start)
+{
+  GString *bytes = g_string_new (start);
+
+  for (size_t i = 0; i < size; i++)
+    if (data[i] >= FIRST_FRAGMENT)
+      g_string_append (bytes, fragments[data[i] % G_N_ELEMENTS (fragments)]);
+    else
+      g_string_append_c (bytes, (char)data[i]);
+  return bytes;
+}
+
 static void
 check_same (const char *what, const Reading *a, const Reading *b)
 {
@@ -91,8 +130,7 @@
 
   if (size < 2)
     return 0;
-  bytes = g_string_new (starts[data[0] / 2 % G_N_ELEMENTS (starts)]);
-  g_string_append_len (bytes, (const char *)&data[2], (gssize)(size - 2));
+  bytes = expand (&data[2], size - 2, starts[data[0] / 2 % G_N_ELEMENTS (starts)]);
   check_answer (data[0] % 2 == 1, bytes, data[1] % (bytes->len + 1));
   g_string_free (bytes, TRUE);
   return 0;
