Count replaced attempts towards the verdict of a request

A caller could be told "not run, try again" for a safe request that a backend server had run or was running: the first attempt was late and was replaced by one at another server, which refused it or could not be reached.

Cause: scheduling_attempt_end returned early for an attempt that had been replaced, so its outcome never counted; and an attempt that had not ended yet counted for nothing either.

Each end of an attempt now counts where ends arrive, in request_attempt_end, for both ways of running. The request counts its attempts without an end, and request_verdict takes these as may have run.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -69,7 +69,8 @@
   uint64_t tried[CORE_ATTEMPTS_MAX + 1]; /* upstream keys or hashes of daemon ids */
   uint8_t n_tried;
   uint8_t n_attempts;
-  GsVerdict worst_verdict; /* most severe verdict of its attempts */
+  uint8_t n_unended;       /* attempts whose end has not been reported; late ones among them */
+  GsVerdict worst_verdict; /* most severe verdict of its ended attempts; see request_verdict */
   bool forwarded;
   RequestPhase phase;
   GsPermit permit;
@@ -204,6 +205,7 @@
 void request_tick (GsCore *core);
 Request *request_find (GsCore *core, uint64_t id);
 
+GsVerdict request_verdict (const Request *request);
 void request_remove (GsCore *core, Request *request);
 void request_fail (GsCore *core, Request *request, uint16_t status, const char *reason);
 void request_send_answer (GsCore *core, Request *request, GsOutcome outcome);
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -73,14 +73,25 @@
   request_remove (core, request);
 }
 
-/* Rejects a request that has no running attempt, with the most severe verdict so far. If it did not
+/* RETURN VALUE: the most severe verdict of all attempts. One that has not ended may have run: a
+ * late attempt may end after the one that replaced it. */
+GsVerdict
+request_verdict (const Request *request)
+{
+  return request->n_unended > 0 ? MAX (request->worst_verdict, GS_VERDICT_MAY_HAVE_RUN)
+                                : request->worst_verdict;
+}
+
+/* Rejects a request that waits for no attempt, with the most severe verdict so far. If it did not
  * run, its permit is released first. */
 void
 request_fail (GsCore *core, Request *request, uint16_t status, const char *reason)
 {
-  if (request->worst_verdict == GS_VERDICT_NOT_RUN && permit_release (core, request, reason))
+  GsVerdict verdict = request_verdict (request);
+
+  if (verdict == GS_VERDICT_NOT_RUN && permit_release (core, request, reason))
     return;
-  request_reject (core, request, request->worst_verdict, status, reason);
+  request_reject (core, request, verdict, status, reason);
 }
 
 bool
@@ -108,6 +119,7 @@
   request->phase = REQUEST_RUNNING;
   request->attempt = attempt->id;
   request->n_attempts++;
+  request->n_unended++;
   if (request->n_tried < G_N_ELEMENTS (request->tried))
     request->tried[request->n_tried++] = target_key;
   return attempt;
@@ -625,7 +637,6 @@
 {
   GsVerdict verdict = gs_outcome_verdict (event->outcome);
 
-  request->worst_verdict = MAX (request->worst_verdict, verdict);
   if (event->outcome == GS_OUTCOME_CANCELLED)
     request_remove (core, request);
   else if (attempt->with_permit && verdict == GS_VERDICT_NOT_RUN)
@@ -641,6 +652,14 @@
                   gs_outcome_name (event->outcome));
 }
 
+/* Counts the end of any attempt of REQUEST, also of one that another attempt has replaced. */
+static void
+record_verdict (Request *request, GsOutcome outcome)
+{
+  request->n_unended--;
+  request->worst_verdict = MAX (request->worst_verdict, gs_outcome_verdict (outcome));
+}
+
 void
 request_answer_started (GsCore *core, uint64_t id)
 {
@@ -662,6 +681,8 @@
   g_hash_table_steal (core->attempts, &attempt->id);
   request = request_find (core, attempt->request);
   state = attempt->pool;
+  if (request != NULL)
+    record_verdict (request, event->outcome);
   if (attempt->grant != 0)
     {
       scheduling_attempt_end (core, request, attempt, event);
@@ -715,8 +736,8 @@
         {
           scheduling_cancel_slot_request (core, request);
           request_fail (core, request,
-                        request->worst_verdict == GS_VERDICT_NOT_RUN ? STATUS_UNAVAILABLE
-                                                                     : STATUS_GATEWAY_TIMEOUT,
+                        request_verdict (request) == GS_VERDICT_NOT_RUN ? STATUS_UNAVAILABLE
+                                                                        : STATUS_GATEWAY_TIMEOUT,
                         "deadline-passed-in-queue");
           continue;
         }
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -402,7 +402,7 @@
       return;
     }
   request->retry_after_ms = retry_after_ms != 0 ? retry_after_ms : SCHEDULING_RETRY_AFTER_MS;
-  if (request->worst_verdict == GS_VERDICT_NOT_RUN)
+  if (request_verdict (request) == GS_VERDICT_NOT_RUN)
     status = SCHEDULING_STATUS_UNAVAILABLE;
   else if (request->deadline_us <= core->now_us)
     status = SCHEDULING_STATUS_TIMEOUT;
@@ -604,7 +604,6 @@
   if (request == NULL || request->attempt != attempt->id)
     return; /* superseded by a newer attempt */
   scheduling_cancel_slot_request (core, request);
-  request->worst_verdict = MAX (request->worst_verdict, gs_outcome_verdict (event->outcome));
   request->n_executions += gs_outcome_verdict (event->outcome) == GS_VERDICT_NOT_RUN ? 0 : 1;
   request->reached_upstream = request->reached_upstream || event->outcome != GS_OUTCOME_UNREACHABLE;
   request->holds_answer = event->outcome == GS_OUTCOME_ERROR;
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -515,6 +515,77 @@
 }
 END_TEST
 
+/* Sends a safe request to daemon 0 of a fleet with two upstreams and replaces its late attempt.
+ * RETURN VALUE: the late attempt; the next number is its replacement. */
+static uint64_t
+replace_late_attempt (Fleet *fleet)
+{
+  GsEvent late = { .kind = GS_EVENT_ATTEMPT_LATE };
+
+  request (fleet, 0, 1);
+  late.attempt_late = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.attempt;
+  post_event (fleet, 0, &late);
+  ck_assert_uint_eq (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.attempt,
+                     late.attempt_late + 1);
+  return late.attempt_late;
+}
+
+/* Guards against a promise of "not run" for a request that an upstream was running: its late
+ * attempt was sent, then replaced by one that could not connect. */
+START_TEST (replaced_attempt_that_may_have_run_counts_towards_the_verdict)
+{
+  static const GsOutcome outcomes[]
+      = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_SILENT, GS_OUTCOME_CLOSED, GS_OUTCOME_ERROR };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+      uint64_t late = replace_late_attempt (fleet);
+      GsEffect *effect;
+      end_attempt (fleet, 0, late, outcomes[i]);
+      end_attempt (fleet, 0, late + 1, GS_OUTCOME_UNREACHABLE);
+      effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+      ck_assert_ptr_nonnull (effect);
+      ck_assert_int_ne (effect->reject.verdict, GS_VERDICT_NOT_RUN);
+      ck_assert_uint_ne (effect->reject.status, 503);
+      fleet_free (fleet);
+    }
+}
+END_TEST
+
+/* Guards against the same promise while the end of the replaced attempt is not known yet. */
+START_TEST (replaced_attempt_without_an_end_may_have_run)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEffect *effect;
+
+  end_attempt (fleet, 0, late + 1, GS_OUTCOME_REFUSED);
+  effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_int_eq (effect->reject.verdict, GS_VERDICT_MAY_HAVE_RUN);
+  ck_assert_uint_ne (effect->reject.status, 503);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against withholding "not run" from a caller whose replaced attempt was never sent. */
+START_TEST (replaced_attempt_that_did_not_connect_has_not_run)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEffect *effect;
+
+  end_attempt (fleet, 0, late, GS_OUTCOME_UNREACHABLE);
+  end_attempt (fleet, 0, late + 1, GS_OUTCOME_UNREACHABLE);
+  effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_int_eq (effect->reject.verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (effect->reject.status, 503);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against replacing attempts of long requests, which take as long at any upstream: while its
  * upstream answers other requests, a late attempt continues. */
 START_TEST (late_attempt_at_a_healthy_upstream_continues)
@@ -723,6 +794,9 @@
               &request_that_did_not_run_is_retried_elsewhere,
               &error_answer_is_passed_on_when_no_retry_is_possible,
               &late_attempt_continues_until_its_replacement_is_granted,
+              &replaced_attempt_that_may_have_run_counts_towards_the_verdict,
+              &replaced_attempt_without_an_end_may_have_run,
+              &replaced_attempt_that_did_not_connect_has_not_run,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
               &upstream_registered_as_leaving_gets_no_requests,
