Cancel an attempt whose caller left before the HTTP layer started it

Requests and slots were left over for good: in the way of running without schedulers the upstream's count of attempts stayed one too high until the daemon ended, with schedulers the slot came back only at the request's deadline, and the request stayed in flight.

Cause: effects reach the HTTP layer after the reducer has made them. If the caller leaves in between, the HTTP layer starts no attempt and so ends none; it reports a disconnected caller, which the reducer ignored for a running request, or the end of the late attempt, which the reducer ignored as replaced. The same happened when the answer of the late attempt was already being sent to the caller.

The HTTP layer reports a disconnected caller only while it runs no attempt, so the reducer now ends the one that it has made as cancelled. The replacement of a late attempt is withdrawn when the late one is cancelled or its answer is being sent.

The new unit tests failed before the change:

attempt_of_a_caller_that_left_before_its_start_is_cancelled: 'gs_core_in_flight (fixture.core) == 0' failed: 1, 0 replacement_of_a_caller_that_left_is_cancelled: 'gs_core_in_flight (fleet->cores[0]) == 0' failed: 1, 0 late_attempt_that_is_being_answered_is_not_replaced: 'outstanding (fleet) == 1' failed: 2, 1

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -220,6 +220,7 @@
 void scheduling_request_slot (GsCore *core, Request *request);
 void scheduling_cancel_slot_request (GsCore *core, Request *request);
 void scheduling_attempt_late (GsCore *core, uint64_t attempt);
+void scheduling_withdraw_replacement (GsCore *core, Request *request, const Attempt *late_attempt);
 void scheduling_attempt_end (GsCore *core,
                              Request *request,
                              const Attempt *attempt,
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -664,9 +664,13 @@
 request_answer_started (GsCore *core, uint64_t id)
 {
   Attempt *attempt = g_hash_table_lookup (core->attempts, &id);
+  Request *request = attempt != NULL ? request_find (core, attempt->request) : NULL;
 
-  if (attempt != NULL)
-    attempt->answer_started = true;
+  if (attempt == NULL)
+    return;
+  attempt->answer_started = true;
+  if (request != NULL && attempt->grant != 0)
+    scheduling_withdraw_replacement (core, request, attempt);
 }
 
 void
@@ -705,8 +709,15 @@
 {
   Request *request = request_find (core, id);
 
-  if (request == NULL || request->phase == REQUEST_RUNNING)
-    return; /* the HTTP layer ends a running attempt as cancelled */
+  if (request == NULL)
+    return;
+  if (request->phase == REQUEST_RUNNING)
+    {
+      /* The HTTP layer itself ends the attempts that it has started. */
+      GsAttemptEndEvent end = { .attempt = request->attempt, .outcome = GS_OUTCOME_CANCELLED };
+      request_attempt_end (core, &end);
+      return;
+    }
   if (request->phase == REQUEST_AWAITING_SLOT)
     scheduling_cancel_slot_request (core, request);
   if (request->phase == REQUEST_QUEUED && permit_release (core, request, "caller-left"))
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -591,6 +591,26 @@
          && request->n_executions < request->max_executions && request->deadline_us > core->now_us;
 }
 
+/* Withdraws the attempt that was to replace LATE_ATTEMPT. The HTTP layer did not start it: the late
+ * one is being answered, or the caller has left. */
+void
+scheduling_withdraw_replacement (GsCore *core, Request *request, const Attempt *late_attempt)
+{
+  static const GsAttemptEndEvent end = { .outcome = GS_OUTCOME_CANCELLED };
+  Attempt *replacement = g_hash_table_lookup (core->attempts, &request->attempt);
+  GsSlotResult result;
+
+  if (replacement == NULL || replacement->id == late_attempt->id)
+    return;
+  g_hash_table_steal (core->attempts, &replacement->id);
+  request->attempt = late_attempt->id;
+  request->grant = late_attempt->grant;
+  request->n_unended--;
+  result = make_slot_result (core, replacement, &end, request->flow);
+  report_slot_result (core, replacement, &result);
+  g_free (replacement);
+}
+
 void
 scheduling_attempt_end (GsCore *core,
                         Request *request,
@@ -601,6 +621,8 @@
       = make_slot_result (core, attempt, event, request != NULL ? request->flow : 0);
 
   report_slot_result (core, attempt, &result);
+  if (request != NULL && (event->committed || event->outcome == GS_OUTCOME_CANCELLED))
+    scheduling_withdraw_replacement (core, request, attempt);
   if (request == NULL || request->attempt != attempt->id)
     return; /* superseded by a newer attempt */
   scheduling_cancel_slot_request (core, request);
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -469,6 +469,21 @@
 }
 END_TEST
 
+/* Guards against slots that stay in use for good: the caller has left before the HTTP layer
+ * received the attempt, which is therefore never started and never ends. */
+START_TEST (attempt_of_a_caller_that_left_before_its_start_is_cancelled)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsEvent disconnected = { .kind = GS_EVENT_CALLER_DISCONNECTED, .caller_disconnected = 1 };
+
+  ck_assert_uint_ne (fixture_request (&fixture, 1, 1), 0);
+  fixture_reduce (&fixture, &disconnected);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 0);
+  ck_assert_uint_eq (gs_pool_outstanding (gs_core_pool (fixture.core, "w", "p")), 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 /* Guards against sending requests to a leaving upstream, when a standby gets the report before it
  * serves the pool. */
 START_TEST (upstream_reports_apply_to_pools_that_are_not_served_yet)
@@ -621,6 +636,7 @@
               &requests_that_were_answered_after_a_crash_are_not_refused,
               &one_upstream_that_drops_connections_gets_no_request_refused,
               &request_of_a_disconnected_caller_is_dropped,
+              &attempt_of_a_caller_that_left_before_its_start_is_cancelled,
               &upstream_reports_apply_to_pools_that_are_not_served_yet,
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -586,6 +586,40 @@
 }
 END_TEST
 
+/* Guards against requests and slots that are left over: the caller has left before the HTTP layer
+ * received the replacement, which is therefore never started and never ends. */
+START_TEST (replacement_of_a_caller_that_left_is_cancelled)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+
+  end_attempt (fleet, 0, late, GS_OUTCOME_CANCELLED);
+  ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 0);
+  ck_assert_uint_eq (outstanding (fleet), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against the same leftovers when the late attempt's answer was being sent to the caller
+ * before the HTTP layer received the replacement. */
+START_TEST (late_attempt_that_is_being_answered_is_not_replaced)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEvent started = { .kind = GS_EVENT_ANSWER_STARTED, .answer_started = late };
+  GsEvent end = { .kind = GS_EVENT_ATTEMPT_END,
+                  .attempt_end = { .attempt = late, .outcome = GS_OUTCOME_OK, .committed = true } };
+
+  post_event (fleet, 0, &started);
+  ck_assert_uint_eq (outstanding (fleet), 1);
+  post_event (fleet, 0, &end);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ANSWER, NULL));
+  ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 0);
+  ck_assert_uint_eq (outstanding (fleet), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against replacing attempts of long requests, which take as long at any upstream: while its
  * upstream answers other requests, a late attempt continues. */
 START_TEST (late_attempt_at_a_healthy_upstream_continues)
@@ -797,6 +831,8 @@
               &replaced_attempt_that_may_have_run_counts_towards_the_verdict,
               &replaced_attempt_without_an_end_may_have_run,
               &replaced_attempt_that_did_not_connect_has_not_run,
+              &replacement_of_a_caller_that_left_is_cancelled,
+              &late_attempt_that_is_being_answered_is_not_replaced,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
               &upstream_registered_as_leaving_gets_no_requests,
