Keep the slot of a running attempt when its grant arrives again

An upstream could get more requests than it has slots, and refused them: a slot request is sent again after 50 ms without a reply, and when only the reply was slow, two replies with the same grant arrive. The second one found no waiting request and released the grant as unused, while the first one's attempt was using it.

A grant is now released only if no attempt uses it; an attempt releases its own at its end.

The new test failed before the change:

repeated_slot_reply_releases_no_slot: 'outstanding (fleet) == 1' failed: 0, 1

--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -336,7 +336,24 @@
   return address->ipv4 == 0;
 }
 
-/* Releases a slot granted to a request that no longer waits for it. */
+static bool
+is_grant_in_use (const GsCore *core, const GsSlotReply *reply)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Attempt *attempt = value;
+      if (attempt->grant == reply->grant && attempt->token == reply->token)
+        return true;
+    }
+  return false;
+}
+
+/* Releases a slot granted to a request that no longer waits for it. A reply that arrives again, as
+ * each slot request that was resent gets one, leaves the slot to the attempt that uses it. */
 static void
 return_grant (GsCore *core, const GsSlotReply *reply, const GsPeerAddress *from)
 {
@@ -346,7 +363,7 @@
                           .upstream = reply->upstream,
                           .outcome = GS_OUTCOME_CANCELLED };
 
-  if (!is_local (from))
+  if (!is_local (from) && !is_grant_in_use (core, reply))
     send_slot_result (core, 0, &result, from);
 }
 
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -16,6 +16,8 @@
   int64_t now_us;
   GsEffectKind dropped_kind; /* messages of this kind are lost while `dropping` */
   bool dropping;
+  GsEffectKind repeated_kind; /* messages of this kind arrive twice while `repeating` */
+  bool repeating;
 } Fleet;
 
 typedef struct
@@ -93,7 +95,10 @@
                && !(fleet->dropping && effect->kind == fleet->dropped_kind))
         {
           GsEvent next = event_from_effect (fleet, core, effect);
+          GsEvent repeated = next;
           post_event (fleet, to, &next);
+          if (fleet->repeating && effect->kind == fleet->repeated_kind)
+            post_event (fleet, to, &repeated);
         }
     }
   gs_effects_free (effects);
@@ -473,6 +478,30 @@
 }
 END_TEST
 
+/* Guards against freeing a slot in use when the network or a resent slot request repeats its
+ * grant. */
+START_TEST (repeated_slot_reply_releases_no_slot)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  int home;
+  GsEffect *effect;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+  end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+  fleet->repeated_kind = GS_EFFECT_SLOT_REPLY;
+  fleet->repeating = true;
+  core = (home + 1) % DAEMONS;
+  request (fleet, core, 2);
+  fleet->repeating = false;
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  ck_assert_uint_eq (outstanding (fleet), 1);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against replacing an error answer of the upstream by one of the daemon. */
 START_TEST (error_answer_is_passed_on_when_no_retry_is_possible)
 {
@@ -826,6 +855,7 @@
               &queued_request_of_a_disconnected_caller_is_cancelled,
               &once_only_request_that_may_have_run_is_not_retried,
               &request_that_did_not_run_is_retried_elsewhere,
+              &repeated_slot_reply_releases_no_slot,
               &error_answer_is_passed_on_when_no_retry_is_possible,
               &late_attempt_continues_until_its_replacement_is_granted,
               &replaced_attempt_that_may_have_run_counts_towards_the_verdict,
