Test: a request is sent to each upstream once, to an address perhaps twice

An upstream that writes an earlier refusal once more on a kept connection could have it taken for the answer to a later attempt of the same request: on the platform an answer names the request only, not the attempt. The tests pin when that needs to be ruled out.

The scheduler knows an upstream by its id and start. All upstreams that a request was sent to are sent along with its slot requests: five attempts at most, four earlier ones listed, so no upstream gets a request twice (refused_request_is_sent_to_each_upstream_once, prop_scheduling). But a registration under a new start or another id at the same address is another upstream, and gets the request although it refused it (upstream_that_started_again_may_get_a_request_that_it_refused). The HTTP layer must therefore not use a connection of the earlier attempt there.

--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -200,6 +200,28 @@
     }
 }
 
+/* Posts to all daemons that the upstream u0, at the address that it had, has started again. */
+static void
+restart_upstream (Fleet *fleet, uint64_t position)
+{
+  GsRegistryChange change
+      = { .offset = position,
+          .present = true,
+          .registration
+          = { .id = "u0", .pool = "p", .ipv4 = 9, .port = 1, .slots = 2, .started_ms = 5 } };
+
+  for (int core = 0; core < DAEMONS; core++)
+    {
+      GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
+                        .registry_update.update = { .to = position + 1,
+                                                    .complete = true,
+                                                    .store = { .available_us = INT64_MAX },
+                                                    .changes = &change,
+                                                    .n_changes = 1 } };
+      post_event (fleet, core, &event);
+    }
+}
+
 static Fleet *
 fleet_new (GsRepeat repeat, uint16_t upstreams)
 {
@@ -478,6 +500,57 @@
 }
 END_TEST
 
+/* Guards against sending a request to an upstream that refused it before: if the upstream repeats
+ * its refusal, that would be taken for the answer to the new attempt. */
+START_TEST (refused_request_is_sent_to_each_upstream_once)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 8);
+  uint32_t ports = 0;
+  int attempts = 0;
+  GsEffect *effect;
+
+  for (uint64_t id = 2; id <= 40; id++) /* earns a budget for retries */
+    {
+      request (fleet, 0, id);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+      end_attempt (fleet, 0, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  request (fleet, 0, 1);
+  while ((effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)) != NULL)
+    {
+      ck_assert_uint_eq (ports & (1U << effect->attempt.port), 0);
+      ports |= 1U << effect->attempt.port;
+      attempts++;
+      end_attempt (fleet, 0, effect->attempt.attempt, GS_OUTCOME_REFUSED);
+    }
+  ck_assert_int_eq (attempts, 5);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Shows that an address may get a request twice: an upstream that has started again is another one
+ * to the scheduler. The HTTP layer must not use a connection of the earlier attempt. */
+START_TEST (upstream_that_started_again_may_get_a_request_that_it_refused)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  GsEffect *effect;
+  uint16_t port;
+  uint64_t attempt;
+
+  request (fleet, 0, 1);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+  port = effect->attempt.port;
+  attempt = effect->attempt.attempt;
+  restart_upstream (fleet, 20);
+  end_attempt (fleet, 0, attempt, GS_OUTCOME_REFUSED);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_uint_eq (effect->attempt.port, port);
+  ck_assert_uint_ne (effect->attempt.attempt, attempt);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against freeing a slot in use when the network or a resent slot request repeats its
  * grant. */
 START_TEST (repeated_slot_reply_releases_no_slot)
@@ -855,6 +928,8 @@
               &queued_request_of_a_disconnected_caller_is_cancelled,
               &once_only_request_that_may_have_run_is_not_retried,
               &request_that_did_not_run_is_retried_elsewhere,
+              &refused_request_is_sent_to_each_upstream_once,
+              &upstream_that_started_again_may_get_a_request_that_it_refused,
               &repeated_slot_reply_releases_no_slot,
               &error_answer_is_passed_on_when_no_retry_is_possible,
               &late_attempt_continues_until_its_replacement_is_granted,
