Count an answer of the store or the log only when it is whole

Callers could be refused, or sent to a server that had left, since a daemon took a part of the store's answer for all of it: a status 410 from a head that was cut discards the reader's position, a 503 from one says that an append is certainly not in the log, and a list of instances that was cut is empty.

The cause is that of the incomplete answers passed on to callers: libcurl reports success for a connection that ends inside the head, for a body without a length, and for a head that states two lengths.

Both clients now make their calls through store/service_client. It counts an answer when the head's empty line was received, states one length or chunks, and the body has that length or its last chunk. Otherwise the status is 0 and the connection is closed.

The new tests play every prefix of every answer, ended by a FIN.

--- a/src/gentian/store/log_client.c
+++ b/src/gentian/store/log_client.c
@@ -1,7 +1,6 @@
 #include "log_client.h"
 
 #include <arpa/inet.h>
-#include <curl/curl.h>
 #include <jansson.h>
 #include <string.h>
 
@@ -9,65 +8,28 @@
 #include "../log/histogram.h"
 #include "msgpack_io.h"
 #include "record.h"
+#include "service_client.h"
 
 enum
 {
   LOG_CONNECT_TIMEOUT_MS = 500,
-  LOG_ANSWER_BYTES_MAX = 64 * 1024 * 1024,
 };
 
 struct GsLogClient
 {
-  CURL *curl;
-  char *base_url;
-  GByteArray *answer;
-  bool maybe_sent; /* bytes of the request may have been sent */
+  GsServiceClient *service;
+  uint32_t timeout_ms;
 };
 
-static size_t
-append_answer_bytes (char *bytes, size_t size, size_t count, void *data)
-{
-  GsLogClient *client = data;
-
-  if (client->answer->len + size * count > LOG_ANSWER_BYTES_MAX)
-    return 0;
-  g_byte_array_append (client->answer, (const guint8 *)bytes, (guint)(size * count));
-  return size * count;
-}
-
-/* Called when a connection is established, before each time that the request is sent. Aborts when
- * libcurl sends it again, which could append a record twice. */
-static int
-on_before_send (void *data, char *remote, char *local, int remote_port, int local_port)
-{
-  GsLogClient *client = data;
-  bool is_resend = client->maybe_sent;
-
-  (void)remote;
-  (void)local;
-  (void)remote_port;
-  (void)local_port;
-  client->maybe_sent = true;
-  return is_resend ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-}
-
 GsLogClient *
 gs_log_client_new (const char *base_url, uint32_t timeout_ms)
 {
+  GsServiceClientOptions options
+      = { .base_url = base_url, .connect_timeout_ms = LOG_CONNECT_TIMEOUT_MS };
   GsLogClient *client = g_new0 (GsLogClient, 1);
 
-  client->base_url = g_strdup (base_url);
-  client->answer = g_byte_array_new ();
-  client->curl = curl_easy_init ();
-  curl_easy_setopt (client->curl, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (client->curl, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
-  curl_easy_setopt (client->curl, CURLOPT_CONNECTTIMEOUT_MS, (long)LOG_CONNECT_TIMEOUT_MS);
-  curl_easy_setopt (client->curl, CURLOPT_WRITEFUNCTION, append_answer_bytes);
-  curl_easy_setopt (client->curl, CURLOPT_WRITEDATA, client);
-  curl_easy_setopt (client->curl, CURLOPT_PREREQFUNCTION, on_before_send);
-  curl_easy_setopt (client->curl, CURLOPT_PREREQDATA, client);
-  curl_easy_setopt (client->curl, CURLOPT_NOPROXY, "*");
+  client->service = gs_service_client_new (&options);
+  client->timeout_ms = timeout_ms;
   return client;
 }
 
@@ -76,68 +38,44 @@
 {
   if (client == NULL)
     return;
-  curl_easy_cleanup (client->curl);
-  g_byte_array_unref (client->answer);
-  g_free (client->base_url);
+  gs_service_client_free (client->service);
   g_free (client);
 }
 
-/* RETURN VALUE: HTTP status, or 0 when no complete answer arrived. */
-static long
+static GsServiceAnswer
 call_service (GsLogClient *client, const char *path, GBytes *body)
 {
-  g_autofree char *url = g_strconcat (client->base_url, path, NULL);
-  struct curl_slist *headers = NULL;
+  GsServiceCall call = { .path = path, .body = body, .timeout_ms = client->timeout_ms };
   int64_t start_us = g_get_monotonic_time ();
-  long status = 0;
-  gsize length = 0;
-  gconstpointer bytes = body != NULL ? g_bytes_get_data (body, &length) : NULL;
+  GsServiceAnswer answer = gs_service_client_call (client->service, &call);
 
-  g_byte_array_set_size (client->answer, 0);
-  client->maybe_sent = false;
-  curl_easy_setopt (client->curl, CURLOPT_URL, url);
-  if (body != NULL)
-    {
-      headers = curl_slist_append (headers, "Content-Type: application/octet-stream");
-      headers = curl_slist_append (headers, "Expect:");
-      curl_easy_setopt (client->curl, CURLOPT_POST, 1L);
-      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
-      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDS, bytes);
-    }
-  else
-    curl_easy_setopt (client->curl, CURLOPT_HTTPGET, 1L);
-  curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, headers);
-  if (curl_easy_perform (client->curl) == CURLE_OK)
-    curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &status);
   gs_histogram_record (GS_HISTOGRAM_STORE_CALL, g_get_monotonic_time () - start_us);
-  curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, NULL);
-  curl_slist_free_all (headers);
-  if (status != 200)
+  if (answer.status != 200)
     gs_counter_add (GS_COUNTER_LOG_FAILURES, 1);
-  return status;
+  return answer;
 }
 
 GsAppendResult
 gs_log_append (GsLogClient *client, const char *stream, GBytes *bytes, uint64_t *offset)
 {
   g_autofree char *path = g_strdup_printf ("/v1/streams/%s/records", stream);
-  long status = call_service (client, path, bytes);
-  json_t *answer;
+  GsServiceAnswer answer = call_service (client, path, bytes);
+  json_t *body;
   GsAppendResult result = GS_APPEND_UNKNOWN;
 
   gs_counter_add (GS_COUNTER_LOG_APPENDS, 1);
-  if (status == 0)
-    return client->maybe_sent ? GS_APPEND_UNKNOWN : GS_APPEND_NOT_DONE;
-  if (status != 200)
-    return status == 503 ? GS_APPEND_NOT_DONE : GS_APPEND_UNKNOWN;
-  answer = json_loadb ((const char *)client->answer->data, client->answer->len, 0, NULL);
-  if (json_is_integer (json_object_get (answer, "offset")))
+  if (answer.status == 0)
+    return answer.maybe_sent ? GS_APPEND_UNKNOWN : GS_APPEND_NOT_DONE;
+  if (answer.status != 200)
+    return answer.status == 503 ? GS_APPEND_NOT_DONE : GS_APPEND_UNKNOWN;
+  body = json_loadb (answer.body, answer.length, 0, NULL);
+  if (json_is_integer (json_object_get (body, "offset")))
     {
       if (offset != NULL)
-        *offset = (uint64_t)json_integer_value (json_object_get (answer, "offset"));
+        *offset = (uint64_t)json_integer_value (json_object_get (body, "offset"));
       result = GS_APPEND_DONE;
     }
-  json_decref (answer);
+  json_decref (body);
   return result;
 }
 
@@ -219,12 +157,15 @@
   g_autofree char *path = g_strdup_printf (
       "/v1/streams/%s/records?from=%" G_GUINT64_FORMAT "&limit=%u", stream, from, limit);
 
+  GsServiceAnswer answer;
+
   memset (page, 0, sizeof *page);
   gs_counter_add (GS_COUNTER_LOG_READS, 1);
-  if (call_service (client, path, NULL) != 200)
+  answer = call_service (client, path, NULL);
+  if (answer.status != 200)
     return false;
-  gs_counter_add (GS_COUNTER_LOG_READ_BYTES, client->answer->len);
-  if (parse_page (page, (const char *)client->answer->data, client->answer->len))
+  gs_counter_add (GS_COUNTER_LOG_READ_BYTES, answer.length);
+  if (parse_page (page, answer.body, answer.length))
     return true;
   gs_log_page_clear (page);
   return false;
@@ -272,20 +213,21 @@
 gs_log_list_instances (GsLogClient *client)
 {
   GPtrArray *list;
-  json_t *answer;
+  GsServiceAnswer answer = call_service (client, "/v1/instances", NULL);
+  json_t *body;
   size_t index;
   json_t *item;
 
-  if (call_service (client, "/v1/instances", NULL) != 200)
+  if (answer.status != 200)
     return NULL;
-  answer = json_loadb ((const char *)client->answer->data, client->answer->len, 0, NULL);
+  body = json_loadb (answer.body, answer.length, 0, NULL);
   list = g_ptr_array_new_with_free_func (free_instance);
-  json_array_foreach (answer, index, item)
+  json_array_foreach (body, index, item)
   {
     GsListedInstance *instance = parse_instance (item);
     if (instance != NULL)
       g_ptr_array_add (list, instance);
   }
-  json_decref (answer);
+  json_decref (body);
   return list;
 }
