Do not take a late answer on a kept connection for that to the next call

A daemon could skip records of the store, or take an append for stored (or for refused) that was not, when a second copy of an earlier answer came where the next one was expected: the answers carry nothing that says which call they belong to.

Reads of the log keep their connection; their records have offsets.

--- a/src/gentian/store/log_client.c
+++ b/src/gentian/store/log_client.c
@@ -42,10 +42,14 @@
   g_free (client);
 }
 
+/* An append has a connection of its own: a late answer to an earlier one would acknowledge it. The
+ * answer to a read says what it belongs to. */
 static GsServiceAnswer
 call_service (GsLogClient *client, const char *path, GBytes *body)
 {
-  GsServiceCall call = { .path = path, .body = body, .timeout_ms = client->timeout_ms };
+  GsServiceCall call = {
+    .path = path, .body = body, .timeout_ms = client->timeout_ms, .own_connection = body != NULL
+  };
   int64_t start_us = g_get_monotonic_time ();
   GsServiceAnswer answer = gs_service_client_call (client->service, &call);
 
--- a/test/unit/test_log_client.c
+++ b/test/unit/test_log_client.c
@@ -56,6 +56,35 @@
 }
 END_TEST
 
+/* A record that is not in the log would count as stored, or one that is as refused. */
+START_TEST (second_copy_of_an_answer_is_not_taken_for_that_to_the_next_append)
+{
+  static const struct
+  {
+    unsigned int first;
+    unsigned int second;
+    GsAppendResult result;
+  } rows[] = { { 200, 503, GS_APPEND_NOT_DONE }, { 503, 200, GS_APPEND_DONE } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      LoopbackServer *server = loopback_new (LOOPBACK_REPEATS);
+      GsLogClient *client = gs_log_client_new (server->url, TIMEOUT_MS);
+      g_autoptr (GBytes) record = g_bytes_new_static ("record", 6);
+      g_autoptr (GByteArray) first
+          = loopback_answer (rows[i].first, LOOPBACK_LENGTH, append_body, strlen (append_body));
+      g_autoptr (GByteArray) second
+          = loopback_answer (rows[i].second, LOOPBACK_LENGTH, append_body, strlen (append_body));
+      loopback_set (server, first->data, first->len);
+      loopback_add (server, second->data, second->len);
+      gs_log_append (client, "claims-01", record, NULL);
+      ck_assert_int_eq (gs_log_append (client, "claims-02", record, NULL), rows[i].result);
+      gs_log_client_free (client);
+      loopback_free (server);
+    }
+}
+END_TEST
+
 /* RETURN VALUE: the body of a read of a log with the offsets 0 to 9, with COUNT records from FIRST
  * on. */
 static GByteArray *
@@ -154,5 +183,6 @@
 
 FIXTURE_MAIN ("log_client",
               &append_is_unknown_when_its_answer_is_cut_at_any_byte,
+              &second_copy_of_an_answer_is_not_taken_for_that_to_the_next_append,
               &read_fails_when_its_answer_is_cut_at_any_byte,
               &list_fails_when_its_answer_is_cut_at_any_byte)
--- a/test/unit/test_store_client.c
+++ b/test/unit/test_store_client.c
@@ -187,8 +187,37 @@
 }
 END_TEST
 
+/* Its records would be counted from the wrong offset, and the records in their place be skipped. */
+START_TEST (second_copy_of_an_answer_is_not_taken_for_the_next_one)
+{
+  LoopbackServer *server = loopback_new (LOOPBACK_REPEATS);
+  GsStore *store = platform_store_new (server->url);
+  g_autoptr (GByteArray) first_body = two_records_body ();
+  g_autoptr (GByteArray) second_body = log_body (END_OFFSET + 1);
+  g_autoptr (GByteArray) first = NULL;
+  g_autoptr (GByteArray) second = NULL;
+  GsStorePage page;
+
+  append_record (second_body, "\001cz", 3);
+  first = loopback_answer (200, LOOPBACK_LENGTH, first_body->data, first_body->len);
+  second = loopback_answer (200, LOOPBACK_LENGTH, second_body->data, second_body->len);
+  loopback_set (server, first->data, first->len);
+  loopback_add (server, second->data, second->len);
+  ck_assert_int_eq (make_call (store, CALL_READ, &page), GS_STORE_OK);
+  gs_store_page_clear (&page);
+  ck_assert_int_eq (gs_store_read (store, GS_STORE_TOPIC_REGISTRATIONS, END_OFFSET, 0, &page),
+                    GS_STORE_OK);
+  ck_assert_uint_eq (page.records->len, 1);
+  ck_assert_str_eq (g_array_index (page.records, GsStoreRecord, 0).key, "c");
+  gs_store_page_clear (&page);
+  gs_store_free (store);
+  loopback_free (server);
+}
+END_TEST
+
 FIXTURE_MAIN ("store_client",
               &answer_cut_at_any_byte_is_not_used,
               &answer_without_length_is_not_used,
               &status_of_a_cut_head_is_not_used,
-              &answer_with_contradictory_framing_is_not_used)
+              &answer_with_contradictory_framing_is_not_used,
+              &second_copy_of_an_answer_is_not_taken_for_the_next_one)
