--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -1,6 +1,7 @@
 /* Fuzzes the decoders of the platform adapter: accepted input is consistent, refused input has an
  * error. */
 #include "../../platform/decode.h"
+#include "../../platform/pages.h"
 
 #include <string.h>
 
@@ -21,6 +22,36 @@
     }
 }
 
+static void
+check_records (const GsStorePage *page)
+{
+  for (guint i = 0; i < page->records->len; i++)
+    {
+      const GsStoreRecord *record = &g_array_index (page->records, GsStoreRecord, i);
+      if (record->key == NULL || record->offset > INT64_MAX)
+        g_error ("a record has no key, or an offset that no log reaches");
+      if (record->value != NULL && g_bytes_get_size (record->value) == 0)
+        g_error ("a removal has a value");
+    }
+}
+
+static void
+check_pages (const char *bytes, size_t size)
+{
+  GsStorePage page = gs_store_page_empty ();
+  PlatformNewestPage newest;
+
+  platform_decode_log_page (bytes, size, 1, &page);
+  check_records (&page);
+  gs_store_page_clear (&page);
+  page = gs_store_page_empty ();
+  if (platform_decode_newest_page (bytes, size, &newest, &page) && newest.end_offset > INT64_MAX)
+    g_error ("an accepted page has an end offset that no log reaches");
+  check_records (&page);
+  platform_newest_page_clear (&newest);
+  gs_store_page_clear (&page);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
@@ -45,6 +76,7 @@
     g_error ("a refused registration has no error");
   g_clear_error (&error);
   platform_decode_duration (text, &ms);
+  check_pages ((const char *)data, size);
   g_free (text);
   return 0;
 }
