--- a/test/unit/test_store_client.c
+++ b/test/unit/test_store_client.c
@@ -364,6 +364,39 @@
 }
 END_TEST
 
+/* Otherwise the first page is taken for the whole list, or the same page is requested for ever. */
+START_TEST (list_that_does_not_go_on_is_not_used)
+{
+  static const char *const pages[]
+      = { "{\"items\":[],\"More\":true,\"EndOffset\":9}",
+          "{\"items\":[7],\"More\":true,\"EndOffset\":9}",
+          "{\"items\":[{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":3}],\"More\":true,"
+          "\"EndOffset\":9}",
+          "{\"items\":[],\"EndOffset\":-9}",
+          "{\"items\":[],\"EndOffset\":9.5}",
+          "{\"items\":[],\"More\":\"true\",\"EndOffset\":9}",
+          "{\"items\":{},\"EndOffset\":9}",
+          "{\"items\":[]}",
+          "{\"More\":false,\"EndOffset\":9}",
+          "{\"items\":[],\"EndOffset\":9}x",
+          "[]",
+          "{}",
+          "" };
+  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+    {
+      g_autoptr (GByteArray) answer
+          = loopback_answer (200, LOOPBACK_LENGTH, pages[i], strlen (pages[i]));
+      ck_assert_msg (result_of (server, CALL_NEWEST, answer->data, answer->len)
+                         == GS_STORE_UNAVAILABLE,
+                     "%s", pages[i]);
+      ck_assert_msg (server->n_requests <= 2, "%s", pages[i]);
+    }
+  loopback_free (server);
+}
+END_TEST
+
 /* The items without a readable key come last in their page. */
 START_TEST (list_goes_on_after_an_odd_item_that_ends_a_page)
 {
@@ -404,4 +437,5 @@
               &second_copy_of_an_answer_is_not_taken_for_the_next_one,
               &odd_record_at_any_position_leaves_the_others,
               &odd_item_at_any_position_leaves_the_others,
+              &list_that_does_not_go_on_is_not_used,
               &list_goes_on_after_an_odd_item_that_ends_a_page)
