--- a/test/unit/test_store_client.c
+++ b/test/unit/test_store_client.c
@@ -215,6 +215,23 @@
 }
 END_TEST
 
+/* The records between the requested offset and the end of the log would be skipped. */
+START_TEST (log_page_without_the_records_before_the_end_is_a_gap)
+{
+  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
+
+  for (uint64_t end = 0; end <= END_OFFSET; end++)
+    {
+      g_autoptr (GByteArray) body = log_body (end);
+      g_autoptr (GByteArray) answer = loopback_answer (200, LOOPBACK_LENGTH, body->data, body->len);
+      ck_assert_msg (result_of (server, CALL_READ, answer->data, answer->len)
+                         == (end > FROM_OFFSET ? GS_STORE_GAP : GS_STORE_OK),
+                     "end %u", (unsigned int)end);
+    }
+  loopback_free (server);
+}
+END_TEST
+
 /* RETURN VALUE: the record of KEY in PAGE, or NULL. */
 static const GsStoreRecord *
 find_record (const GsStorePage *page, const char *key)
@@ -435,6 +452,7 @@
               &status_of_a_cut_head_is_not_used,
               &answer_with_contradictory_framing_is_not_used,
               &second_copy_of_an_answer_is_not_taken_for_the_next_one,
+              &log_page_without_the_records_before_the_end_is_a_gap,
               &odd_record_at_any_position_leaves_the_others,
               &odd_item_at_any_position_leaves_the_others,
               &list_that_does_not_go_on_is_not_used,
