Check that an answer of the log fits its call

A read of the log took any records for those that it had requested, so that a late answer to the read of another stream moved the position past records that were never read. An append counted as stored at a negative offset. A list of instances that is no JSON list counted as an empty one.

Records must now be those from the requested offset on; otherwise the call has failed, and the connection is not used again.

On the old code: log_client:append_is_unknown_when_its_answer_has_no_valid_offset: {"offset": -1} log_client:read_fails_when_its_records_are_not_those_requested: first 0 log_client:list_fails_when_its_body_is_no_list: (empty body) They pass with the change.

--- a/src/gentian/store/log_client.c
+++ b/src/gentian/store/log_client.c
@@ -65,6 +65,7 @@
   g_autofree char *path = g_strdup_printf ("/v1/streams/%s/records", stream);
   GsServiceAnswer answer = call_service (client, path, bytes);
   json_t *body;
+  json_t *stored_at;
   GsAppendResult result = GS_APPEND_UNKNOWN;
 
   gs_counter_add (GS_COUNTER_LOG_APPENDS, 1);
@@ -73,10 +74,11 @@
   if (answer.status != 200)
     return answer.status == 503 ? GS_APPEND_NOT_DONE : GS_APPEND_UNKNOWN;
   body = json_loadb (answer.body, answer.length, 0, NULL);
-  if (json_is_integer (json_object_get (body, "offset")))
+  stored_at = json_object_get (body, "offset");
+  if (json_is_integer (stored_at) && json_integer_value (stored_at) >= 0)
     {
       if (offset != NULL)
-        *offset = (uint64_t)json_integer_value (json_object_get (body, "offset"));
+        *offset = (uint64_t)json_integer_value (stored_at);
       result = GS_APPEND_DONE;
     }
   json_decref (body);
@@ -151,6 +153,21 @@
   return !reader.failed && !list.failed;
 }
 
+/* Whether PAGE holds the records from FROM on, and not those of another read. */
+static bool
+is_requested_page (const GsLogPage *page, uint64_t from)
+{
+  uint64_t offset = MAX (from, page->first_offset);
+
+  for (guint i = 0; i < page->records->len; i++)
+    {
+      const GsLogRecord *record = g_ptr_array_index (page->records, i);
+      if (record->offset != offset++)
+        return false;
+    }
+  return page->records->len == 0 || offset <= page->end_offset;
+}
+
 bool
 gs_log_read (GsLogClient *client,
              const char *stream,
@@ -169,9 +186,10 @@
   if (answer.status != 200)
     return false;
   gs_counter_add (GS_COUNTER_LOG_READ_BYTES, answer.length);
-  if (parse_page (page, answer.body, answer.length))
+  if (parse_page (page, answer.body, answer.length) && is_requested_page (page, from))
     return true;
   gs_log_page_clear (page);
+  gs_service_client_disconnect (client->service);
   return false;
 }
 
@@ -225,6 +243,12 @@
   if (answer.status != 200)
     return NULL;
   body = json_loadb (answer.body, answer.length, 0, NULL);
+  if (!json_is_array (body))
+    {
+      json_decref (body);
+      gs_service_client_disconnect (client->service);
+      return NULL;
+    }
   list = g_ptr_array_new_with_free_func (free_instance);
   json_array_foreach (body, index, item)
   {
--- a/src/gentian/store/log_client.h
+++ b/src/gentian/store/log_client.h
@@ -6,12 +6,13 @@
  *   The platform's protocol, which test/standin/platform.c implements as a stand-in:
  *     POST /v1/streams/NAME/records           body: one record; answer: {"offset": N}
  *     GET  /v1/streams/NAME/records?from=N&limit=M
- *          answer: msgpack [first, next, now_ms, retention_ms, [[offset, written_ms, bytes], ...]]
+ *          answer: msgpack [first, next, now_ms, retention_ms, [[offset, written_ms, bytes], ...]],
+ *          with the records from offset N on, or from the first on if that is later, without gaps
  *     GET  /v1/instances
  *          answer: [{"id": "...", "state": "live" or "leaving", ...}, ...]
  *
  *   A client is used by one thread. An append whose answer is lost has the result
- * GS_APPEND_UNKNOWN.
+ * GS_APPEND_UNKNOWN. Tested by test/unit/test_log_client.c.
  */
 #ifndef GS_LOG_CLIENT_H
 #define GS_LOG_CLIENT_H
--- a/test/unit/test_log_client.c
+++ b/test/unit/test_log_client.c
@@ -29,6 +29,14 @@
   return result;
 }
 
+static GsAppendResult
+append_body_once (LoopbackServer *server, const char *body)
+{
+  g_autoptr (GByteArray) answer = loopback_answer (200, LOOPBACK_LENGTH, body, strlen (body));
+
+  return append_once (server, answer->data, answer->len);
+}
+
 /* An edit or a claim would count as stored, or as certainly not stored, when neither is known. */
 START_TEST (append_is_unknown_when_its_answer_is_cut_at_any_byte)
 {
@@ -56,6 +64,18 @@
 }
 END_TEST
 
+START_TEST (append_is_unknown_when_its_answer_has_no_valid_offset)
+{
+  static const char *const bodies[]
+      = { "", "{}", "[]", "{\"offset\": \"12\"}", "{\"offset\": -1}", "{\"offset\": 1.5}" };
+  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    ck_assert_msg (append_body_once (server, bodies[i]) == GS_APPEND_UNKNOWN, "%s", bodies[i]);
+  loopback_free (server);
+}
+END_TEST
+
 /* A record that is not in the log would count as stored, or one that is as refused. */
 START_TEST (second_copy_of_an_answer_is_not_taken_for_that_to_the_next_append)
 {
@@ -149,6 +169,22 @@
 }
 END_TEST
 
+/* A late answer to an earlier read, of another stream perhaps; the position would skip records. */
+START_TEST (read_fails_when_its_records_are_not_those_requested)
+{
+  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
+
+  for (uint64_t first = 0; first < 10; first++)
+    {
+      g_autoptr (GByteArray) body = page_body (first, 10 - first);
+      g_autoptr (GByteArray) answer = loopback_answer (200, LOOPBACK_LENGTH, body->data, body->len);
+      ck_assert_msg (read_once (server, answer->data, answer->len) == (first == FROM_OFFSET),
+                     "first %u", (unsigned int)first);
+    }
+  loopback_free (server);
+}
+END_TEST
+
 static GPtrArray *
 list_once (LoopbackServer *server, const void *answer, size_t length)
 {
@@ -181,8 +217,26 @@
 }
 END_TEST
 
+START_TEST (list_fails_when_its_body_is_no_list)
+{
+  static const char *const bodies[] = { "", "{}", "[", "7", "[{\"id\": \"d1\"}" };
+  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      g_autoptr (GByteArray) answer
+          = loopback_answer (200, LOOPBACK_LENGTH, bodies[i], strlen (bodies[i]));
+      ck_assert_msg (list_once (server, answer->data, answer->len) == NULL, "%s", bodies[i]);
+    }
+  loopback_free (server);
+}
+END_TEST
+
 FIXTURE_MAIN ("log_client",
               &append_is_unknown_when_its_answer_is_cut_at_any_byte,
+              &append_is_unknown_when_its_answer_has_no_valid_offset,
               &second_copy_of_an_answer_is_not_taken_for_that_to_the_next_append,
               &read_fails_when_its_answer_is_cut_at_any_byte,
-              &list_fails_when_its_answer_is_cut_at_any_byte)
+              &read_fails_when_its_records_are_not_those_requested,
+              &list_fails_when_its_answer_is_cut_at_any_byte,
+              &list_fails_when_its_body_is_no_list)
