Leave records out whose key cannot be an id

Daemons stopped following the list of upstreams when it held an entry with an empty key, or one above 63 bytes: the daemon that read it passed it on without an id, and all others refused the whole update, each time. The removal of such a key ended the upstream whose id is its first 63 bytes. A key with a line end and a valid value made an upstream whose id splits the header that names the expected instance.

A record whose key is no id (1 to 63 bytes, no control characters, spaces or quotes) now concerns no upstream: it is logged and passed to nobody.

--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -111,25 +111,18 @@
   return state;
 }
 
-/* Decodes RECORD. A record that describes no usable server is treated as a removal. */
-static GsRegistryChange
-decode_record (const GsStoreWatcher *watcher, const GsStoreRecord *record)
+/* RETURN VALUE: false when RECORD concerns no server. */
+static bool
+decode_record (const GsStoreWatcher *watcher, const GsStoreRecord *record, GsRegistryChange *change)
 {
-  GsRegistryChange change = { .offset = record->offset };
   g_autoptr (GError) error = NULL;
-  gsize length = 0;
-  const char *bytes = record->value != NULL ? g_bytes_get_data (record->value, &length) : NULL;
+  bool names_server = gs_store_decode_change (watcher->registrations, record, change, &error);
 
-  if (bytes != NULL)
-    change.present = watcher->registrations->class->parse_registration (
-        record->key, bytes, length, &change.registration, &error);
-  else
-    g_strlcpy (change.registration.id, record->key, sizeof change.registration.id);
   if (error != NULL)
     gs_log (GS_LOG_EVENT_REGISTRATION_REFUSED,
             "upstream=%.63s offset=%" G_GUINT64_FORMAT " reason=\"%s\"", record->key,
             record->offset, error->message);
-  return change;
+  return names_server;
 }
 
 /* Decodes the page. Unless it is the complete set, only records that change something are kept. */
@@ -142,8 +135,9 @@
   for (guint i = 0; i < call->page.records->len; i++)
     {
       const GsStoreRecord *record = &g_array_index (call->page.records, GsStoreRecord, i);
-      GsRegistryChange change = decode_record (watcher, record);
-      if (call->newest || gs_registry_apply (watcher->registry, &change, &call->state, now_us))
+      GsRegistryChange change;
+      if (decode_record (watcher, record, &change)
+          && (call->newest || gs_registry_apply (watcher->registry, &change, &call->state, now_us)))
         g_array_append_val (call->changes, change);
     }
   if (call->newest)
--- a/src/gentian/store/store.h
+++ b/src/gentian/store/store.h
@@ -11,7 +11,7 @@
  * DESCRIPTION
  *   The store has one log per topic, which never deletes the newest record of a key. An adapter
  * fills the vtable and decodes the platform's records into the types of the core. A store is used
- * by one thread at a time.
+ * by one thread at a time. Tested by test/unit/test_store.c.
  */
 #ifndef GS_STORE_H
 #define GS_STORE_H
@@ -117,4 +117,17 @@
 void gs_store_page_add (GsStorePage *page, uint64_t offset, char *key, GBytes *value);
 void gs_store_page_clear (GsStorePage *page);
 
+#define GS_STORE_ERROR (g_quark_from_static_string ("gs-store"))
+
+/**
+ * Decodes RECORD of the topic of registrations. One that describes no usable server is a removal,
+ * and sets ERROR.
+ *
+ * RETURN VALUE: false with ERROR when its key cannot be an id, so that it concerns no server.
+ */
+bool gs_store_decode_change (const GsStore *store,
+                             const GsStoreRecord *record,
+                             GsRegistryChange *change,
+                             GError **error);
+
 #endif
