Keep each log event on one line, whatever its fields contain

A text from the store or from a caller with a line end in it, such as the key of an odd entry, could forge log lines, and a quote or a space in it fields. Control characters of fields are now replaced, and what a line says of a refused record has names and quoted text of plain characters only.

On the old code: log:fields_stay_on_one_line: a line end in a field ends the line It passes with the change.

--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -12,8 +12,13 @@
    * detected after this plus the timeout of a call. The sum is less than the 3 s after which the
    * platform again relies on a daemon whose connections were reset. */
   WATCHER_TABLES_WAIT_MS = 1200,
+  WATCHER_LOGGED_BYTES = 200, /* of a text from the store */
 };
 
+/** Characters of a name and of a quoted text from the store that a log line may have. */
+#define WATCHER_NAME_CHARACTERS G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "._:/+-"
+#define WATCHER_TEXT_CHARACTERS WATCHER_NAME_CHARACTERS " !#$%&'()*,;<=>?@[]^`{|}~"
+
 /** Interval between reads of the registrations. With the distribution to the other daemons it stays
  * well below the 2 s within which a leaving upstream must no longer receive requests. */
 #define WATCHER_READ_INTERVAL_US (800 * GS_US_PER_MS)
@@ -111,6 +116,13 @@
   return state;
 }
 
+/* RETURN VALUE: newly allocated copy of the start of TEXT, with only CHARACTERS. */
+static char *
+loggable (const char *text, const char *characters)
+{
+  return g_strcanon (g_strndup (text, WATCHER_LOGGED_BYTES), characters, '?');
+}
+
 /* RETURN VALUE: false when RECORD concerns no server. */
 static bool
 decode_record (const GsStoreWatcher *watcher, const GsStoreRecord *record, GsRegistryChange *change)
@@ -119,9 +131,13 @@
   bool names_server = gs_store_decode_change (watcher->registrations, record, change, &error);
 
   if (error != NULL)
-    gs_log (GS_LOG_EVENT_REGISTRATION_REFUSED,
-            "upstream=%.63s offset=%" G_GUINT64_FORMAT " reason=\"%s\"", record->key,
-            record->offset, error->message);
+    {
+      g_autofree char *key = loggable (record->key, WATCHER_NAME_CHARACTERS);
+      g_autofree char *reason = loggable (error->message, WATCHER_TEXT_CHARACTERS);
+      gs_log (GS_LOG_EVENT_REGISTRATION_REFUSED,
+              "upstream=%s offset=%" G_GUINT64_FORMAT " reason=\"%s\"", key, record->offset,
+              reason);
+    }
   return names_server;
 }
 
@@ -305,8 +321,9 @@
 
   if (document == NULL)
     {
+      g_autofree char *reason = loggable (error->message, WATCHER_TEXT_CHARACTERS);
       gs_log (GS_LOG_EVENT_TABLES_REFUSED, "offset=%" G_GUINT64_FORMAT " reason=\"%s\"",
-              record->offset, error->message);
+              record->offset, reason);
       return;
     }
   if (document->revision <= tables_revision (watcher))
--- a/src/gentian/log/log.c
+++ b/src/gentian/log/log.c
@@ -97,20 +97,32 @@
   return event != NULL ? event->name : NULL;
 }
 
+/* Replaces control characters, which fields from outside may contain: a line end would end the
+ * event. */
+static void
+replace_control_characters (char *fields)
+{
+  for (char *next = fields; *next != '\0'; next++)
+    if (g_ascii_iscntrl (*next))
+      *next = '?';
+}
+
 static char *
 format_line (const LogEvent *event, const char *fields)
 {
+  g_autofree char *printable = g_strndup (fields, LOG_LINE_BYTES_MAX);
   int64_t now_us = g_get_real_time ();
   time_t seconds = (time_t)(now_us / G_USEC_PER_SEC);
   struct tm parts;
   char stamp[32];
 
+  replace_control_characters (printable);
   gmtime_r (&seconds, &parts);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &parts);
-  return g_strdup_printf ("<%d>1 %s.%03dZ %s %s %d GS%d - %s %.*s\n",
+  return g_strdup_printf ("<%d>1 %s.%03dZ %s %s %d GS%d - %s %s\n",
                           LOG_FACILITY * 8 + (int)event->level, stamp, (int)(now_us / 1000 % 1000),
                           log_instance, log_program, (int)getpid (), (int)event->number,
-                          event->name, LOG_LINE_BYTES_MAX, fields);
+                          event->name, printable);
 }
 
 static void
--- a/src/gentian/log/log.h
+++ b/src/gentian/log/log.h
@@ -5,7 +5,8 @@
  * DESCRIPTION
  *   Each event is one line with an RFC 5424 header: `<PRI>1 TIME INSTANCE PROGRAM PID GSnumber -
  * name fields`. Numbers, levels and names are those of core/log_event.h. Thread-safe. The event
- * start-failed goes to standard error.
+ * start-failed goes to standard error. Control characters in fields are replaced. Tested by
+ * test/unit/test_log.c.
  */
 #ifndef GS_LOG_H
 #define GS_LOG_H
