Refuse registrations with values that no upstream registers

A registration with an odd value named an upstream: a start time or a sequence number near the largest integer, before which every later heartbeat counts as late; an address that is no host's; a field that occurs twice; a service or zone with control characters; a time remaining in hexadecimal, with a sign or after spaces.

These are refused now, with 2^53 - 1 as the limit of sequence numbers and the end of the year 9999 as that of start times. Ports and slots out of range, numbers that overflow, text that is not UTF-8, NULs and values of another type were refused before; the test covers them too, in each field.

--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -95,6 +95,18 @@
 }
 END_TEST
 
+static void
+assert_refused (const char *text)
+{
+  g_autoptr (GError) error = NULL;
+  GsRegistration row;
+
+  ck_assert_msg (!platform_decode_registration ("i-1", text, strlen (text), &row, &error), "%s",
+                 text);
+  ck_assert_ptr_nonnull (error);
+  ck_assert_str_eq (row.id, "i-1");
+}
+
 /* The id must be decoded even so, because an invalid registration ends the server's valid one. */
 START_TEST (invalid_registrations_are_refused)
 {
@@ -119,6 +131,108 @@
 }
 END_TEST
 
+/* Callers would be sent to a server that nobody registered. The id is decoded even so, as above. */
+START_TEST (registration_with_an_odd_value_is_refused)
+{
+  static const char *const fields[][2]
+      = { { "\"Service\":", "\"s\"" },   { "\"Address\":", "\"10.1.2.3:8080\"" },
+          { "\"Zone\":", "\"z\"" },      { "\"Slots\":", "4" },
+          { "\"State\":", "\"ready\"" }, { "\"WarmupLeft\":", "\"250ms\"" },
+          { "\"Seq\":", "4" },           { "\"born\":", "17" } };
+  static const char *const values[] = { "null",
+                                        "true",
+                                        "[]",
+                                        "{}",
+                                        "\"\"",
+                                        "-1",
+                                        "1.5",
+                                        "-1.5",
+                                        "1e999",
+                                        "-1e999",
+                                        "1E400",
+                                        "NaN",
+                                        "Infinity",
+                                        "9007199254740992",
+                                        "9223372036854775807",
+                                        "9223372036854775808",
+                                        "-9223372036854775809",
+                                        "18446744073709551616",
+                                        "99999999999999999999999999",
+                                        "\"a\\u0000b\"",
+                                        "\"\\ud800\"",
+                                        "\"\377\"",
+                                        "\"a\\nb\"",
+                                        "\"a\\u007fb\"",
+                                        "\"a\nb\"",
+                                        "0x10",
+                                        "+1",
+                                        "01",
+                                        "1,\"State\":\"asleep\"",
+                                        "" };
+  static const char *const others[][2]
+      = { { "8080", "0" },
+          { "8080", "65536" },
+          { "8080", "99999" },
+          { "8080", "-1" },
+          { "8080", "+80" },
+          { "8080", " 80" },
+          { "8080", "80 " },
+          { "8080", "" },
+          { "8080", "0x50" },
+          { "8080", "80:80" },
+          { "8080", "18446744073709551696" },
+          { "8080", "80\\u0000" },
+          { "10.1.2.3", "" },
+          { "10.1.2.3", "::1" },
+          { "10.1.2.3", "[::1]" },
+          { "10.1.2.3", "10.1.2" },
+          { "10.1.2.3", "10.1.2.3.4" },
+          { "10.1.2.3", "10.1.2.256" },
+          { "10.1.2.3", " 10.1.2.3" },
+          { "10.1.2.3", "0.0.0.0" },
+          { "10.1.2.3", "224.0.0.1" },
+          { "10.1.2.3", "255.255.255.255" },
+          { ":8080", "" },
+          { "\"Slots\":4", "\"Slots\":0" },
+          { "\"Slots\":4", "\"Slots\":\"4\"" },
+          { "\"Slots\":4", "\"Slots\":4097" },
+          { "\"Slots\":4", "\"Slots\":65540" },
+          { "\"Slots\":4", "\"Slots\":2147483648" },
+          { "\"Slots\":4", "\"Slots\":4.0" },
+          { "250ms", "1e999ms" },
+          { "250ms", "infs" },
+          { "250ms", "nans" },
+          { "250ms", "-250ms" },
+          { "250ms", "+250ms" },
+          { "250ms", " 250ms" },
+          { "250ms", "250 ms" },
+          { "250ms", "0x10ms" },
+          { "250ms", "9999999999s" },
+          { "\"Seq\":4", "\"Seq\":4,\"Seq\":5" },
+          { "\"State\":\"ready\"", "\"State\":\"draining\",\"State\":\"ready\"" },
+          { "\"born\":17}", "\"born\":17" },
+          { "\"born\":17}", "\"born\":17}}" },
+          { "\"born\":17}", "\"born\":17}{}" },
+          { "\"born\":17", "\"born\":253402300800000" },
+          { "{\"Service", "\377{\"Service" },
+          { "{\"Service", "{\"\\u0000\":1,\"Service" } };
+
+  for (size_t field = 0; field < G_N_ELEMENTS (fields); field++)
+    for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+      {
+        g_autofree char *old = g_strconcat (fields[field][0], fields[field][1], NULL);
+        g_autofree char *new = g_strconcat (fields[field][0], values[i], NULL);
+        g_autofree char *text = replace_first (heartbeat, old, new);
+        assert_refused (text);
+      }
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      g_autofree char *text = replace_first (heartbeat, others[i][0], others[i][1]);
+      assert_refused (text);
+    }
+}
+END_TEST
+
 START_TEST (durations_need_a_unit)
 {
   uint32_t ms;
@@ -138,4 +252,5 @@
               &tables_with_one_invalid_value_are_refused,
               &registrations_are_decoded,
               &invalid_registrations_are_refused,
+              &registration_with_an_odd_value_is_refused,
               &durations_need_a_unit)
