--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -1,6 +1,8 @@
 /* Unit tests of platform/decode: the platform's JSON documents, decoded to the daemon's types. */
 #include "fixture.h"
 
+#include <pthread.h>
+
 #include "../../platform/decode.h"
 
 static const char tables_text[]
@@ -233,6 +235,92 @@
 }
 END_TEST
 
+enum
+{
+  NESTED_STACK_BYTES = 256 * 1024,
+  LARGE_VALUE_BYTES = 1024 * 1024,
+};
+
+/* RETURN VALUE: a newly allocated text of DEPTH nested lists, or of as many nested objects. */
+static char *
+nested (const char *open, const char *close, int depth)
+{
+  GString *text = g_string_new (NULL);
+
+  for (int i = 0; i < depth; i++)
+    g_string_append (text, open);
+  g_string_append_c (text, '1');
+  for (int i = 0; i < depth; i++)
+    g_string_append (text, close);
+  return g_string_free (text, FALSE);
+}
+
+/* Decodes a registration and tables in which VALUE stands instead of a known field, and in an
+ * unknown one. */
+static void
+decode_with (const char *value, bool valid_when_unknown)
+{
+  g_autofree char *known = g_strconcat ("\"Slots\":", value, NULL);
+  g_autofree char *unknown = g_strconcat ("{\"Unknown\":", value, ",\"Service\"", NULL);
+  g_autofree char *with_known = replace_first (heartbeat, "\"Slots\":4", known);
+  g_autofree char *with_unknown = replace_first (heartbeat, "{\"Service\"", unknown);
+  g_autofree char *routes = g_strconcat ("\"Routes\":", value, ",\"New\":[", NULL);
+  g_autofree char *tables = replace_first (tables_text, "\"Routes\":[", routes);
+  g_autoptr (GError) error = NULL;
+  GsRegistration row;
+
+  assert_refused (with_known);
+  assert_refused (value);
+  ck_assert_int_eq (
+      platform_decode_registration ("i-1", with_unknown, strlen (with_unknown), &row, &error),
+      valid_when_unknown);
+  ck_assert_ptr_null (parse_tables (tables, NULL));
+  ck_assert_ptr_null (parse_tables (value, NULL));
+}
+
+static void *
+decode_nested (void *data)
+{
+  static const int depths[] = { 1, 2, 31, 32, 100, 1000, 2040, 2047, 2048, 2049, 10000, 100000 };
+
+  (void)data;
+  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+    {
+      g_autofree char *lists = nested ("[", "]", depths[i]);
+      g_autofree char *objects = nested ("{\"k\":", "}", depths[i]);
+      g_autofree char *unclosed = nested ("[", "", depths[i]);
+      decode_with (lists, depths[i] < 32);
+      decode_with (objects, depths[i] < 32);
+      decode_with (unclosed, false);
+    }
+  return NULL;
+}
+
+/* A decoder that recurses ends the daemon when its stack does not suffice. */
+START_TEST (deeply_nested_documents_are_refused)
+{
+  pthread_attr_t attributes;
+  pthread_t thread;
+
+  pthread_attr_init (&attributes);
+  ck_assert_int_eq (pthread_attr_setstacksize (&attributes, NESTED_STACK_BYTES), 0);
+  ck_assert_int_eq (pthread_create (&thread, &attributes, decode_nested, NULL), 0);
+  pthread_join (thread, NULL);
+  pthread_attr_destroy (&attributes);
+}
+END_TEST
+
+START_TEST (large_values_are_decoded_or_refused)
+{
+  g_autofree char *letters = g_strnfill (LARGE_VALUE_BYTES, 'a');
+  g_autofree char *digits = g_strnfill (LARGE_VALUE_BYTES, '1');
+  g_autofree char *text = g_strconcat ("\"", letters, "\"", NULL);
+
+  decode_with (text, true);
+  decode_with (digits, false);
+}
+END_TEST
+
 START_TEST (durations_need_a_unit)
 {
   uint32_t ms;
@@ -253,4 +341,6 @@
               &registrations_are_decoded,
               &invalid_registrations_are_refused,
               &registration_with_an_odd_value_is_refused,
+              &deeply_nested_documents_are_refused,
+              &large_values_are_decoded_or_refused,
               &durations_need_a_unit)
