Take the other rows of a registry update that has an odd one

A daemon refused the update of another as a whole when one row had no id, so that it kept the list of before; it took a row without a pool, a port or slots for an upstream.

A row without an id is left out; one that names no usable server is a removal, as in the daemon that reads it from the store. A message that cannot be decoded is refused as before.

On the old code: wire:odd_row_of_a_registry_update_leaves_the_others: message of kind 7 does not decode It passes with the change.

--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -131,7 +131,10 @@
   registration->warmup_left_ms = (uint32_t)gs_msgpack_read_uint (&item, UINT32_MAX);
   registration->started_ms = gs_msgpack_read_uint (&item, UINT64_MAX);
   registration->sequence = gs_msgpack_read_uint (&item, UINT64_MAX);
-  list->failed = list->failed || item.failed || registration->id[0] == '\0';
+  list->failed = list->failed || item.failed;
+  /* A registration that names no usable server is a removal, as one read from the store is. */
+  change->present = change->present && registration->pool[0] != '\0' && registration->port != 0
+                    && registration->slots != 0;
 }
 
 static void
@@ -171,9 +174,13 @@
     }
   changes = g_new0 (GsRegistryChange, list.length);
   update->changes = changes;
-  update->n_changes = list.length;
   for (uint32_t i = 0; i < list.length; i++)
-    read_change (&list, &changes[i]);
+    {
+      GsRegistryChange change = { 0 };
+      read_change (&list, &change);
+      if (change.registration.id[0] != '\0')
+        changes[update->n_changes++] = change;
+    }
   reader->failed = list.failed;
 }
 
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -149,9 +149,59 @@
 }
 END_TEST
 
+/* One row that describes no usable server would make the daemon refuse the update of all others. */
+START_TEST (odd_row_of_a_registry_update_leaves_the_others)
+{
+  static const GsRegistryChange good
+      = { .offset = 5,
+          .present = true,
+          .registration
+          = { .id = "a", .pool = "p", .failure_domain = "d", .ipv4 = 1, .port = 2, .slots = 3 } };
+  enum
+  {
+    NO_ID = 0,
+    NO_POOL,
+    NO_PORT,
+    NO_SLOTS,
+    ODD_ROWS,
+  };
+
+  for (int odd = 0; odd < ODD_ROWS; odd++)
+    for (int position = 0; position < 3; position++)
+      {
+        GsRegistryChange rows[3] = { good, good, good };
+        GsWireMessage message
+            = { .kind = GS_WIRE_REGISTRY_UPDATE,
+                .registry_update
+                = { .from = 1, .to = 9, .store = { .available_us = INT64_MAX }, .n_changes = 3 } };
+        GsWireMessage decoded;
+        uint32_t n_present = 0;
+        g_strlcpy (rows[position].registration.id, odd == NO_ID ? "" : "b", 2);
+        if (odd == NO_POOL)
+          rows[position].registration.pool[0] = '\0';
+        else if (odd == NO_PORT)
+          rows[position].registration.port = 0;
+        else if (odd == NO_SLOTS)
+          rows[position].registration.slots = 0;
+        message.registry_update.changes = rows;
+        decoded = round_trip (&message);
+        ck_assert_uint_eq (decoded.registry_update.n_changes, odd == NO_ID ? 2 : 3);
+        for (uint32_t i = 0; i < decoded.registry_update.n_changes; i++)
+          {
+            const GsRegistryChange *row = &decoded.registry_update.changes[i];
+            ck_assert (row->present == (strcmp (row->registration.id, "a") == 0));
+            n_present += row->present ? 1 : 0;
+          }
+        ck_assert_uint_eq (n_present, 2);
+        gs_wire_clear (&decoded);
+      }
+}
+END_TEST
+
 FIXTURE_MAIN ("wire",
               &slot_requests_round_trip,
               &slot_replies_round_trip,
               &slot_results_round_trip,
               &retry_accounts_round_trip,
-              &registry_updates_round_trip)
+              &registry_updates_round_trip,
+              &odd_row_of_a_registry_update_leaves_the_others)
