--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -12,8 +12,13 @@
    * detected after this plus the timeout of a call. The sum is less than the 3 s after which the
    * platform again relies on a daemon whose connections were reset. */
   WATCHER_TABLES_WAIT_MS = 1200,
+  WATCHER_LOGGED_BYTES = 200, /* of a text from the store */
 };
 
+/** Characters of a name and of a quoted text from the store that a log line may have. */
+#define WATCHER_NAME_CHARACTERS G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "._:/+-"
+#define WATCHER_TEXT_CHARACTERS WATCHER_NAME_CHARACTERS " !#$%&'()*,;<=>?@[]^`{|}~"
+
 /** Interval between reads of the registrations. With the distribution to the other daemons it stays
  * well below the 2 s within which a leaving upstream must no longer receive requests. */
 #define WATCHER_READ_INTERVAL_US (800 * GS_US_PER_MS)
@@ -111,25 +116,29 @@
   return state;
 }
 
-/* Decodes RECORD. A record that describes no usable server is treated as a removal. */
-static GsRegistryChange
-decode_record (const GsStoreWatcher *watcher, const GsStoreRecord *record)
+/* RETURN VALUE: newly allocated copy of the start of TEXT, with only CHARACTERS. */
+static char *
+loggable (const char *text, const char *characters)
+{
+  return g_strcanon (g_strndup (text, WATCHER_LOGGED_BYTES), characters, '?');
+}
+
+/* RETURN VALUE: false when RECORD concerns no server. */
+static bool
+decode_record (const GsStoreWatcher *watcher, const GsStoreRecord *record, GsRegistryChange *change)
 {
-  GsRegistryChange change = { .offset = record->offset };
   g_autoptr (GError) error = NULL;
-  gsize length = 0;
-  const char *bytes = record->value != NULL ? g_bytes_get_data (record->value, &length) : NULL;
+  bool names_server = gs_store_decode_change (watcher->registrations, record, change, &error);
 
-  if (bytes != NULL)
-    change.present = watcher->registrations->class->parse_registration (
-        record->key, bytes, length, &change.registration, &error);
-  else
-    g_strlcpy (change.registration.id, record->key, sizeof change.registration.id);
   if (error != NULL)
-    gs_log (GS_LOG_EVENT_REGISTRATION_REFUSED,
-            "upstream=%.63s offset=%" G_GUINT64_FORMAT " reason=\"%s\"", record->key,
-            record->offset, error->message);
-  return change;
+    {
+      g_autofree char *key = loggable (record->key, WATCHER_NAME_CHARACTERS);
+      g_autofree char *reason = loggable (error->message, WATCHER_TEXT_CHARACTERS);
+      gs_log (GS_LOG_EVENT_REGISTRATION_REFUSED,
+              "upstream=%s offset=%" G_GUINT64_FORMAT " reason=\"%s\"", key, record->offset,
+              reason);
+    }
+  return names_server;
 }
 
 /* Decodes the page. Unless it is the complete set, only records that change something are kept. */
@@ -142,8 +151,9 @@
   for (guint i = 0; i < call->page.records->len; i++)
     {
       const GsStoreRecord *record = &g_array_index (call->page.records, GsStoreRecord, i);
-      GsRegistryChange change = decode_record (watcher, record);
-      if (call->newest || gs_registry_apply (watcher->registry, &change, &call->state, now_us))
+      GsRegistryChange change;
+      if (decode_record (watcher, record, &change)
+          && (call->newest || gs_registry_apply (watcher->registry, &change, &call->state, now_us)))
         g_array_append_val (call->changes, change);
     }
   if (call->newest)
@@ -311,8 +321,9 @@
 
   if (document == NULL)
     {
+      g_autofree char *reason = loggable (error->message, WATCHER_TEXT_CHARACTERS);
       gs_log (GS_LOG_EVENT_TABLES_REFUSED, "offset=%" G_GUINT64_FORMAT " reason=\"%s\"",
-              record->offset, error->message);
+              record->offset, reason);
       return;
     }
   if (document->revision <= tables_revision (watcher))
