Clear each effect before it is filled

What callers could see: slots of a pool taken for ever, and 503 while upstreams had room, after a lost datagram.

Cause: the array of effects did not clear its elements, and the result of a slot does not set 'duplicate'. With bytes of an earlier effect there, the result was sent as a copy that may be lost instead of over the connection.

Change: the array clears its elements.

--- a/src/gentian/core/effects.c
+++ b/src/gentian/core/effects.c
@@ -12,7 +12,7 @@
 {
   GsEffects *effects = g_new0 (GsEffects, 1);
 
-  effects->effects = g_array_new (FALSE, FALSE, sizeof (GsEffect));
+  effects->effects = g_array_new (FALSE, TRUE, sizeof (GsEffect));
   return effects;
 }
 
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -612,6 +612,31 @@
 }
 END_TEST
 
+/* Guards against results of slots sent as copies that may be lost: effects carried bytes of earlier
+ * ones in the fields that they do not set. */
+START_TEST (effects_carry_no_bytes_of_earlier_ones)
+{
+  Fixture fixture = fixture_new (3, GS_REPEAT_SAFE);
+  GsEvent event = { .kind = GS_EVENT_SLOT_REPLY,
+                    .slot_reply = { .from = { .ipv4 = 2, .peer_port = 90 },
+                                    .reply = { .verdict = GS_SLOT_GRANTED, .grant = 1 } } };
+
+  for (int i = 0; i < 2; i++)
+    {
+      GsEffect *returned;
+      uint8_t duplicate;
+
+      fixture_reduce (&fixture, &event);
+      returned = (GsEffect *)fixture_find (&fixture, GS_EFFECT_SLOT_RESULT);
+      ck_assert_ptr_nonnull (returned);
+      memcpy (&duplicate, &returned->slot_result.duplicate, sizeof duplicate);
+      ck_assert_uint_eq (duplicate, 0);
+      memset (&returned->slot_result, 'e', sizeof returned->slot_result);
+    }
+  fixture_free (&fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("core",
               &answer_is_passed_on,
               &an_attempt_ends_once,
@@ -641,4 +666,5 @@
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
               &only_active_home_sends_no_evidence,
+              &effects_carry_no_bytes_of_earlier_ones,
               &same_seed_gives_the_same_effects)
