http: Keep what an answer's head states in one struct

Change: a test for each; the current head is a struct that is set anew as a whole, so that no member of it can be left over.

--- a/src/gentian/http/answer_parser.c
+++ b/src/gentian/http/answer_parser.c
@@ -27,12 +27,24 @@
   PART_TRAILER,
 } Part;
 
+/* What the current head states. */
+typedef struct
+{
+  uint16_t status;
+  bool is_http_1_0;
+  int64_t length; /* Content-Length, or -1 */
+  bool chunked;
+  bool close;
+  bool keep_alive;
+} Head;
+
 struct GsAnswerParser
 {
   GsAnswerParserOptions options;
   GsAnswerState state;
   GsAnswerFraming framing;
   Part part;
+  Head head;
   const char *reason;
   GString *line;       /* the current line, as far as it has been received */
   GPtrArray *headers;  /* name, value, ... */
@@ -41,25 +53,13 @@
   uint32_t n_informational;
   uint64_t left_bytes;    /* of the body or the current chunk */
   uint32_t chunk_end_len; /* bytes received of the line end after a chunk's data */
-  /* The current head. */
-  uint16_t status;
-  bool is_http_1_0;
-  int64_t length; /* Content-Length, or -1 */
-  bool chunked;
-  bool close;
-  bool keep_alive;
 };
 
 static void
-reset_head (GsAnswerParser *parser)
+begin_head (GsAnswerParser *parser)
 {
   parser->part = PART_STATUS_LINE;
-  parser->status = 0;
-  parser->is_http_1_0 = false;
-  parser->length = -1;
-  parser->chunked = false;
-  parser->close = false;
-  parser->keep_alive = false;
+  parser->head = (Head){ .length = -1 };
 }
 
 GsAnswerParser *
@@ -70,7 +70,7 @@
   parser->options = *options;
   parser->line = g_string_new (NULL);
   parser->headers = g_ptr_array_new_with_free_func (g_free);
-  reset_head (parser);
+  begin_head (parser);
   return parser;
 }
 
@@ -93,7 +93,7 @@
 static bool
 is_informational (const GsAnswerParser *parser)
 {
-  return parser->status / 100 == 1;
+  return parser->head.status / 100 == 1;
 }
 
 static void
@@ -133,12 +133,12 @@
       refuse (parser, "bad-status-line");
       return;
     }
-  parser->is_http_1_0 = line[7] == '0';
-  parser->status = (uint16_t)g_ascii_strtoull (&line[9], NULL, 10);
+  parser->head.is_http_1_0 = line[7] == '0';
+  parser->head.status = (uint16_t)g_ascii_strtoull (&line[9], NULL, 10);
   parser->part = PART_HEADER;
-  if (parser->status == 101)
+  if (parser->head.status == 101)
     refuse (parser, "unexpected-upgrade");
-  else if (is_informational (parser) && parser->is_http_1_0)
+  else if (is_informational (parser) && parser->head.is_http_1_0)
     refuse (parser, "informational-in-http-1.0");
   else if (is_informational (parser) && ++parser->n_informational > INFORMATIONAL_MAX)
     refuse (parser, "too-many-informational");
@@ -149,21 +149,22 @@
 {
   size_t n_digits = strspn (value, DIGITS);
 
-  if (parser->length >= 0)
+  if (parser->head.length >= 0)
     refuse (parser, "repeated-length");
   else if (n_digits == 0 || n_digits > LENGTH_DIGITS_MAX || value[n_digits] != '\0')
     refuse (parser, "bad-length");
   else
-    parser->length = (int64_t)g_ascii_strtoull (value, NULL, 10);
+    parser->head.length = (int64_t)g_ascii_strtoull (value, NULL, 10);
 }
 
 static void
 parse_transfer_coding (GsAnswerParser *parser, const char *value)
 {
-  if (parser->chunked || parser->is_http_1_0 || g_ascii_strcasecmp (value, "chunked") != 0)
+  if (parser->head.chunked || parser->head.is_http_1_0
+      || g_ascii_strcasecmp (value, "chunked") != 0)
     refuse (parser, "bad-transfer-coding");
   else
-    parser->chunked = true;
+    parser->head.chunked = true;
 }
 
 static void
@@ -174,8 +175,9 @@
   for (char **token = tokens; *token != NULL; token++)
     {
       const char *name = g_strstrip (*token);
-      parser->close = parser->close || g_ascii_strcasecmp (name, "close") == 0;
-      parser->keep_alive = parser->keep_alive || g_ascii_strcasecmp (name, "keep-alive") == 0;
+      parser->head.close = parser->head.close || g_ascii_strcasecmp (name, "close") == 0;
+      parser->head.keep_alive
+          = parser->head.keep_alive || g_ascii_strcasecmp (name, "keep-alive") == 0;
     }
 }
 
@@ -188,7 +190,7 @@
     parse_transfer_coding (parser, value);
   else if (g_ascii_strcasecmp (name, "Connection") == 0)
     parse_connection (parser, value);
-  if (!is_ended (parser) && parser->length >= 0 && parser->chunked)
+  if (!is_ended (parser) && parser->head.length >= 0 && parser->head.chunked)
     refuse (parser, "length-and-transfer-coding");
 }
 
@@ -223,21 +225,21 @@
 begin_body (GsAnswerParser *parser)
 {
   parser->state = GS_ANSWER_BODY;
-  if (parser->options.head_request || parser->status == 204 || parser->status == 304)
+  if (parser->options.head_request || parser->head.status == 204 || parser->head.status == 304)
     {
       parser->framing = GS_ANSWER_FRAMING_NO_BODY;
       parser->state = GS_ANSWER_COMPLETE;
     }
-  else if (parser->chunked)
+  else if (parser->head.chunked)
     {
       parser->framing = GS_ANSWER_FRAMING_CHUNKED;
       parser->part = PART_CHUNK_LINE;
     }
-  else if (parser->length >= 0)
+  else if (parser->head.length >= 0)
     {
       parser->framing = GS_ANSWER_FRAMING_LENGTH;
       parser->part = PART_BODY;
-      parser->left_bytes = (uint64_t)parser->length;
+      parser->left_bytes = (uint64_t)parser->head.length;
       if (parser->left_bytes == 0)
         parser->state = GS_ANSWER_COMPLETE;
     }
@@ -252,11 +254,11 @@
 static void
 end_head (GsAnswerParser *parser)
 {
-  if ((is_informational (parser) || parser->status == 204)
-      && (parser->chunked || parser->length > 0))
+  if ((is_informational (parser) || parser->head.status == 204)
+      && (parser->head.chunked || parser->head.length > 0))
     refuse (parser, "unexpected-body");
   else if (is_informational (parser))
-    reset_head (parser);
+    begin_head (parser);
   else
     begin_body (parser);
 }
@@ -470,13 +472,13 @@
 uint16_t
 gs_answer_parser_status (const GsAnswerParser *parser)
 {
-  return is_informational (parser) ? 0 : parser->status;
+  return is_informational (parser) ? 0 : parser->head.status;
 }
 
 int64_t
 gs_answer_parser_length (const GsAnswerParser *parser)
 {
-  return is_informational (parser) ? -1 : parser->length;
+  return is_informational (parser) ? -1 : parser->head.length;
 }
 
 bool
@@ -484,9 +486,9 @@
 {
   if (parser->state != GS_ANSWER_BODY && parser->state != GS_ANSWER_COMPLETE)
     return false;
-  if (parser->framing == GS_ANSWER_FRAMING_CLOSE || parser->close)
+  if (parser->framing == GS_ANSWER_FRAMING_CLOSE || parser->head.close)
     return false;
-  return !parser->is_http_1_0 || parser->keep_alive;
+  return !parser->head.is_http_1_0 || parser->head.keep_alive;
 }
 
 const GPtrArray *
--- a/src/gentian/http/answer_parser.h
+++ b/src/gentian/http/answer_parser.h
@@ -14,8 +14,8 @@
  *
  *   An answer is complete when its end is proved: the stated length, the last chunk with the end of
  * its trailers, a status or method without a body, or, where neither a length nor chunks are
- * stated, the end of the connection after the complete head. Informational answers (1xx) are
- * skipped. Headers come from the head only; trailers are checked and dropped.
+ * stated, the end of the connection after the complete head. Up to eight informational answers
+ * (1xx) are skipped. Headers come from the head only; trailers are checked and dropped.
  *
  *   Whatever is ambiguous is malformed, because the two sides could disagree on where the answer
  * ends: a repeated or invalid Content-Length, a length beside Transfer-Encoding, a transfer coding
@@ -100,8 +100,8 @@
  * complete, and for an answer that is incomplete or malformed. */
 bool gs_answer_parser_keeps_connection (const GsAnswerParser *parser);
 
-/** RETURN VALUE: headers of the final answer: name, value, name, value, ... in their order, values
- * without surrounding whitespace. Owned by PARSER. */
+/** RETURN VALUE: headers of the final answer, all of them once its head is complete: name, value,
+ * name, value, ... in their order, values without surrounding whitespace. Owned by PARSER. */
 const GPtrArray *gs_answer_parser_headers (const GsAnswerParser *parser);
 
 #endif
--- a/test/unit/test_answer_parser.c
+++ b/test/unit/test_answer_parser.c
@@ -153,6 +153,11 @@
            "0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"),
     .status = 200, .framing = GS_ANSWER_FRAMING_LENGTH, .stated_length = 2,
     .keeps_connection = true, .headers = "Content-Length=2;", .body = "ok" },
+  { "1xx with keep-alive first, HTTP/1.0",
+    BYTES ("HTTP/1.1 100\r\nConnection: keep-alive\r\n\r\nHTTP/1.0 200\r\nContent-Length: "
+           "2\r\n\r\nok"),
+    .status = 200, .framing = GS_ANSWER_FRAMING_LENGTH, .stated_length = 2,
+    .headers = "Content-Length=2;", .body = "ok" },
   { "1xx first, by close", BYTES ("HTTP/1.1 199 \r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nx"),
     .status = 200, .framing = GS_ANSWER_FRAMING_CLOSE, .stated_length = -1, .headers = "",
     .body = "x" },
@@ -834,6 +839,25 @@
 }
 END_TEST
 
+/* Guards against what an informational answer states that is taken for the final answer's. */
+START_TEST (informational_head_is_not_shown)
+{
+  static const char bytes[]
+      = "HTTP/1.1 103\r\nA: b\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+  for (size_t length = 0; length <= strlen (bytes); length++)
+    {
+      Reading reading = reading_whole (false, bytes, length);
+
+      ck_assert_int_eq (reading_state (&reading), GS_ANSWER_HEAD);
+      ck_assert_uint_eq (gs_answer_parser_status (reading.parser), 0);
+      ck_assert_int_eq (gs_answer_parser_length (reading.parser), -1);
+      ck_assert_uint_eq (gs_answer_parser_headers (reading.parser)->len, 0);
+      reading_free (&reading);
+    }
+}
+END_TEST
+
 START_TEST (framings_have_names)
 {
   ck_assert_str_eq (gs_answer_framing_name (GS_ANSWER_FRAMING_UNKNOWN), "unknown");
@@ -860,4 +884,5 @@
               &time_for_a_byte_does_not_grow_with_the_head,
               &ended_answers_stay_as_they_are,
               &body_is_delivered_as_it_arrives,
+              &informational_head_is_not_shown,
               &framings_have_names)
