Correct a "not run" that speaks of the last attempt only

A caller of a safe request could read `Gentian-Verdict: not-run` although an earlier attempt may have run. A home that refuses a crashing request (422), or whose tables are behind (404), states not-run of the attempt through it; an upstream may state it with any status. Only a 503 of this kind is a refusal to the daemon; any other answer was passed on as it was, also after an attempt through another home that had timed out.

The answer effect now carries the most severe verdict of the other attempts, and the HTTP layer puts it in place of the statement.

--- a/bench/fake_pool.c
+++ b/bench/fake_pool.c
@@ -386,7 +386,7 @@
       send_attempt (fake, daemon, &effect->attempt);
       break;
     case GS_EFFECT_ANSWER:
-      record_end (fake, daemon, effect->answer, true);
+      record_end (fake, daemon, effect->answer.request, true);
       break;
     case GS_EFFECT_REJECT:
       record_end (fake, daemon, effect->reject.request, false);
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -293,6 +293,15 @@
   int64_t late_us; /**< time without an answer after which another attempt is requested; 0: never */
 } GsAttemptEffect;
 
+/** Pass on the answer of the last attempt. */
+typedef struct
+{
+  uint64_t request;
+  /** Most severe verdict of the other attempts. If one may have run, an answer that states not-run
+   * must not be passed on as such. */
+  GsVerdict earlier_verdict;
+} GsAnswerEffect;
+
 typedef struct
 {
   uint64_t request;
@@ -324,7 +333,7 @@
   union
   {
     GsAttemptEffect attempt;
-    uint64_t answer; /**< request; also of GS_EFFECT_CACHED_ANSWER */
+    GsAnswerEffect answer; /**< also of GS_EFFECT_CACHED_ANSWER */
     GsRejectEffect reject;
     GsAddressLookupEffect address_lookup;
     GsClaimRecord claim;
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -69,8 +69,9 @@
   uint64_t tried[CORE_ATTEMPTS_MAX + 1]; /* upstream keys or hashes of daemon ids */
   uint8_t n_tried;
   uint8_t n_attempts;
-  uint8_t n_unended;       /* attempts whose end has not been reported; late ones among them */
-  GsVerdict worst_verdict; /* most severe verdict of its ended attempts; see request_verdict */
+  uint8_t n_unended;         /* attempts whose end has not been reported; late ones among them */
+  GsVerdict worst_verdict;   /* most severe verdict of its ended attempts; see request_verdict */
+  GsVerdict earlier_verdict; /* the same of all attempts but the one that ended last */
   bool forwarded;
   RequestPhase phase;
   GsPermit permit;
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -69,7 +69,7 @@
 void
 request_send_cached_answer (GsCore *core, Request *request)
 {
-  core_add_effect (core, GS_EFFECT_CACHED_ANSWER)->answer = request->id;
+  core_add_effect (core, GS_EFFECT_CACHED_ANSWER)->answer.request = request->id;
   request_remove (core, request);
 }
 
@@ -584,7 +584,8 @@
 {
   if (outcome != GS_OUTCOME_UNCERTAIN)
     permit_request_answered (core, request);
-  core_add_effect (core, GS_EFFECT_ANSWER)->answer = request->id;
+  core_add_effect (core, GS_EFFECT_ANSWER)->answer
+      = (GsAnswerEffect){ .request = request->id, .earlier_verdict = request->earlier_verdict };
   core_log_event (core, GS_LOG_EVENT_ANSWERED,
                   "request=%" G_GUINT64_FORMAT
                   " id=%s pool=%s outcome=%s attempts=%u total_us=%" G_GINT64_FORMAT,
@@ -657,6 +658,7 @@
 record_verdict (Request *request, GsOutcome outcome)
 {
   request->n_unended--;
+  request->earlier_verdict = request_verdict (request);
   request->worst_verdict = MAX (request->worst_verdict, gs_outcome_verdict (outcome));
 }
 
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -84,7 +84,7 @@
       return effect->attempt.request;
     case GS_EFFECT_ANSWER:
     case GS_EFFECT_CACHED_ANSWER:
-      return effect->answer;
+      return effect->answer.request;
     case GS_EFFECT_REJECT:
       return effect->reject.request;
     case GS_EFFECT_ADDRESS_LOOKUP_ANSWER:
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -222,8 +222,20 @@
   MHD_add_response_header (data, name, joined != NULL ? joined : value);
 }
 
+/* An answer that states "not run" speaks of its own attempt only. */
 static void
-send_answer (GsProxyRequest *request)
+correct_verdict (struct MHD_Response *response, GsVerdict earlier_verdict)
+{
+  const char *verdict = MHD_get_response_header (response, "Gentian-Verdict");
+
+  if (verdict == NULL || strcmp (verdict, gs_verdict_name (GS_VERDICT_NOT_RUN)) != 0)
+    return;
+  MHD_del_response_header (response, "Gentian-Verdict", verdict);
+  MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (earlier_verdict));
+}
+
+static void
+send_answer (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
   size_t length;
   const void *body = gs_exchange_body (request->exchange, &length);
@@ -236,6 +248,7 @@
   if (status >= 500 && request->context->header_names->verdicts
       && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
     MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  correct_verdict (response, earlier_verdict);
   /* Other requests may use the connection from here on. */
   g_clear_pointer (&request->exchange, gs_exchange_free);
   set_answer (request, (unsigned int)status, response);
@@ -435,7 +448,7 @@
       start_attempt (request);
       break;
     case GS_EFFECT_ANSWER:
-      send_answer (request);
+      send_answer (request, effect->answer.earlier_verdict);
       break;
     case GS_EFFECT_CACHED_ANSWER:
       send_cached_answer (request);
--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -487,7 +487,7 @@
       begin_attempt (lab, daemon, &effect->attempt);
       break;
     case GS_EFFECT_ANSWER:
-      call = g_hash_table_lookup (self->calls, &effect->answer);
+      call = g_hash_table_lookup (self->calls, &effect->answer.request);
       /* An error that is passed on is a failure to the caller, whatever its cause. */
       if (call != NULL && call->service_us < 0)
         retry_or_fail (lab, call, &(GsRejectEffect){ .verdict = GS_VERDICT_RAN, .status = 500 });
--- a/test/property/oracle.h
+++ b/test/property/oracle.h
@@ -3,6 +3,7 @@
  * commands and checks these invariants after each:
  *   - a request has at most one attempt under way, and exactly one end;
  *   - a request is rejected as not-run only if none of its attempts may have run;
+ *   - an answer is passed on with the verdict of the attempts before it;
  *   - a never-repeat request, or a ticket over all its requests, has at most one attempt that may
  * have run;
  *   - an upstream never has more attempts than slots, and no attempt starts after the reducer has
@@ -42,7 +43,8 @@
   uint16_t upstream;
   int may_have_run; /* number of attempts */
   bool never_repeat;
-  int ticket; /* index; -1: none */
+  int ticket;               /* index; -1: none */
+  int may_have_run_earlier; /* number of attempts before the one that ended last */
 } OracleRequest;
 
 typedef struct
@@ -154,6 +156,17 @@
                    "rejected as not-run, but an attempt may have run");
 }
 
+static inline void
+oracle_check_answer (Oracle *oracle, const GsAnswerEffect *effect)
+{
+  OracleRequest *request = oracle_request (oracle, effect->request);
+
+  oracle_check_end (oracle, effect->request);
+  oracle_expect (
+      oracle, effect->earlier_verdict != GS_VERDICT_NOT_RUN || request->may_have_run_earlier == 0,
+      "an answer passed on as that of the first attempt, but one before may have run");
+}
+
 static inline void
 oracle_check_pool (Oracle *oracle)
 {
@@ -187,8 +200,10 @@
         oracle_check_attempt (oracle, &effect->attempt);
       else if (effect->kind == GS_EFFECT_REJECT)
         oracle_check_reject (oracle, &effect->reject);
-      else if (effect->kind == GS_EFFECT_ANSWER || effect->kind == GS_EFFECT_CACHED_ANSWER)
-        oracle_check_end (oracle, effect->answer);
+      else if (effect->kind == GS_EFFECT_ANSWER)
+        oracle_check_answer (oracle, &effect->answer);
+      else if (effect->kind == GS_EFFECT_CACHED_ANSWER)
+        oracle_check_end (oracle, effect->answer.request);
     }
   oracle_check_pool (oracle);
 }
@@ -260,7 +275,7 @@
 
   if (request->open)
     return;
-  *request = (OracleRequest){ true, 0, 0, 0, route == GS_REPEAT_NEVER, ticket };
+  *request = (OracleRequest){ true, 0, 0, 0, route == GS_REPEAT_NEVER, ticket, 0 };
   memset (&event, 0, sizeof event);
   event.kind = GS_EVENT_REQUEST;
   event.request.request = id;
@@ -297,6 +312,7 @@
   event.attempt_end.answer_us = 20000;
   request->attempt = 0;
   oracle->attempts_at_upstream[request->upstream]--;
+  request->may_have_run_earlier = request->may_have_run;
   if (gs_outcome_verdict (outcome) != GS_VERDICT_NOT_RUN)
     {
       request->may_have_run++;
--- a/test/property/prop_claim.cpp
+++ b/test/property/prop_claim.cpp
@@ -217,8 +217,8 @@
       }
     else if (effect->kind == GS_EFFECT_ANSWER || effect->kind == GS_EFFECT_CACHED_ANSWER)
       {
-        open.erase ({ daemon, effect->answer });
-        end_forward (daemon, effect->answer, GS_OUTCOME_OK);
+        open.erase ({ daemon, effect->answer.request });
+        end_forward (daemon, effect->answer.request, GS_OUTCOME_OK);
       }
   }
 
--- a/test/property/prop_scheduling.cpp
+++ b/test/property/prop_scheduling.cpp
@@ -237,7 +237,7 @@
     return;
   GsEffect effect = daemon.deliveries.front ();
   uint64_t id = effect.kind == GS_EFFECT_ATTEMPT  ? effect.attempt.request
-                : effect.kind == GS_EFFECT_ANSWER ? effect.answer
+                : effect.kind == GS_EFFECT_ANSWER ? effect.answer.request
                                                   : effect.reject.request;
   Request &request = daemon.requests[id];
   daemon.deliveries.pop_front ();
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -561,6 +561,32 @@
 }
 END_TEST
 
+/* Guards against passing on a home's "not run", which it says of the attempt through it only, after
+ * an attempt through another home that may have run. */
+START_TEST (answer_tells_whether_earlier_attempts_may_have_run)
+{
+  static const GsOutcome outcomes[] = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_UNREACHABLE };
+  static const GsVerdict verdicts[] = { GS_VERDICT_MAY_HAVE_RUN, GS_VERDICT_NOT_RUN };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      Fixture fixture = fixture_new (6, GS_REPEAT_SAFE);
+      const GsEffect *answer;
+      uint64_t attempt;
+      add_members (&fixture);
+      attempt = fixture_request (&fixture, 1, 1);
+      ck_assert (fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.forward);
+      attempt = fixture_end_attempt (&fixture, attempt, outcomes[i]);
+      ck_assert_uint_ne (attempt, 0);
+      fixture_end_attempt (&fixture, attempt, GS_OUTCOME_OK);
+      answer = fixture_find (&fixture, GS_EFFECT_ANSWER);
+      ck_assert_ptr_nonnull (answer);
+      ck_assert_int_eq (answer->answer.earlier_verdict, verdicts[i]);
+      fixture_free (&fixture);
+    }
+}
+END_TEST
+
 /* Guards against useless messages: no other daemon serves the pool, so none needs the evidence. */
 START_TEST (only_active_home_sends_no_evidence)
 {
@@ -640,5 +666,6 @@
               &upstream_reports_apply_to_pools_that_are_not_served_yet,
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
+              &answer_tells_whether_earlier_attempts_may_have_run,
               &only_active_home_sends_no_evidence,
               &same_seed_gives_the_same_effects)
