Suspend no connection while the server stops

A daemon now and then aborted (exit code 134) at the end of a planned stop: libmicrohttpd's "MHD_stop_daemon() called while we have suspended connections".

Cause: gs_entry_free resumes all suspended connections, and gs_server_free lets libmicrohttpd handle what is ready before it stops it. That reads the next request from a connection that a caller keeps open, whose handler suspended the connection again. A stop ends when no request has come for half a second, without a request being refused before, so any request in the last moment did it.

From gs_entry_free on, the entry refuses requests, as not run, and suspends no connection: a request whose answer is not there is closed, and so is an answer that is streamed and waits for its next part. The administration API and the platform's endpoints suspend no connections.

The new test sends a request just before gs_entry_free.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -27,6 +27,7 @@
   GQueue suspended; /* of GsProxyRequest, by their links */
   ev_timer caller_check;
   bool refusing; /* new requests are refused because the daemon is about to exit */
+  bool closing;  /* the server is being stopped; no connection may be suspended any more */
   uint32_t in_flight;
 };
 
@@ -43,17 +44,20 @@
   return ((EntryRequest *)(void *)request)->entry;
 }
 
-static void
+static bool
 suspend (GsProxyRequest *request)
 {
   GsEntry *entry = entry_of (request);
 
+  if (entry->closing)
+    return false;
   request->suspended = true;
   request->link.data = request;
   g_queue_push_tail_link (&entry->suspended, &request->link);
   MHD_suspend_connection (request->connection);
   if (!ev_is_active (&entry->caller_check))
     ev_timer_again (gs_engine_loop (entry->engine), &entry->caller_check);
+  return true;
 }
 
 static void
@@ -201,10 +205,7 @@
   if (request->caller_disconnected)
     return MHD_NO;
   if (request->response == NULL)
-    {
-      suspend (request);
-      return MHD_YES;
-    }
+    return suspend (request) ? MHD_YES : MHD_NO;
   if (gs_engine_stopping (request->context->engine))
     MHD_add_response_header (request->response, "Connection", "close");
   if (request->engine_id != 0)
@@ -365,6 +366,8 @@
 {
   GList *link;
 
+  entry->refusing = true;
+  entry->closing = true;
   while ((link = entry->suspended.head) != NULL)
     gs_proxy_request_caller_disconnected (link->data);
   gs_server_free (entry->server);
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -299,11 +299,8 @@
     return got;
   if (got == GS_EXCHANGE_READ_END)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  if (got == GS_EXCHANGE_READ_PENDING)
-    {
-      request->context->suspend (request);
-      return 0;
-    }
+  if (got == GS_EXCHANGE_READ_PENDING && request->context->suspend (request))
+    return 0;
   request->stream_failed = true;
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
--- a/src/gentian/http/proxy_request.h
+++ b/src/gentian/http/proxy_request.h
@@ -35,8 +35,9 @@
   GsAnswerCache *answer_cache;
   /** Resumes the connection: the answer, or more of a streamed one, is available. */
   void (*resume) (GsProxyRequest *request);
-  /** Suspends the connection: no handler is called for it until it is resumed. */
-  void (*suspend) (GsProxyRequest *request);
+  /** Suspends the connection: no handler is called for it until it is resumed. RETURN VALUE: false
+   * when the server closes; the connection must then be closed. */
+  bool (*suspend) (GsProxyRequest *request);
 } GsProxyContext;
 
 struct GsProxyRequest
--- a/src/gentian/http/server.h
+++ b/src/gentian/http/server.h
@@ -47,7 +47,8 @@
 /** Stops listening; open connections stay open. */
 void gs_server_quiesce (GsServer *server);
 
-/** Closes all connections; none may be suspended. */
+/** Closes all connections; none may be suspended. Requests that have arrived are handled before,
+ * and their handlers may not suspend their connections either. */
 void gs_server_free (GsServer *server);
 
 #endif
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -197,6 +197,26 @@
   answer[length] = '\0';
 }
 
+/* Guards against an abort at the end of a planned stop: a request that comes on an open connection
+ * is read once more by the server, and was suspended when the server stopped. */
+START_TEST (request_that_comes_at_the_end_of_a_stop_is_refused)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE);
+  char answer[ANSWER_BYTES_MAX];
+  int caller = connect_caller (fixture);
+
+  gs_engine_stop (fixture->engine);
+  gs_entry_quiesce (fixture->entry);
+  send_text (caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  entry_fixture_free (fixture);
+  read_answer (caller, answer);
+  ck_assert_ptr_nonnull (strstr (answer, "HTTP/1.1 503 "));
+  ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: not-run\r\n"));
+  ck_assert_ptr_nonnull (strstr (answer, "Connection: close\r\n"));
+  close (caller);
+}
+END_TEST
+
 /* Guards against a promise of "not run" that an upstream gave for its own attempt only, after one
  * at another upstream that may have run. */
 START_TEST (not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
@@ -222,4 +242,6 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("entry", &not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
+FIXTURE_MAIN ("entry",
+              &request_that_comes_at_the_end_of_a_stop_is_refused,
+              &not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
