Pass on no status that promises "not run" without the upstream's word

On the users' platform a caller takes 503, 429 and 408 as a promise that the request has not run and never will, and sends an unsafe request again. An upstream states that in a header of its own; without the header its request may have run. Such an answer was passed on with its status: of a faulty upstream, or of one that stopped in the middle of the head, after the status line.

The answer is now classified as one whose wholeness cannot be told: may have run, retried only where the route allows it, and 502 in the end, without the upstream's stamp. 421 stays a refusal by its status alone, as the platform says.

The new test of the entry failed before the change, with real sockets:

status_without_the_upstreams_statement_promises_nothing: 'strstr (answer, "HTTP/1.1 502 ") != NULL' failed

--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -11,7 +11,10 @@
 enum
 {
   PROXY_REQUEST_STREAM_BLOCK_BYTES = 64 * 1024,
+  PROXY_REQUEST_STATUS_REQUEST_TIMEOUT = 408,
   PROXY_REQUEST_STATUS_MISDIRECTED = 421,
+  PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS = 429,
+  PROXY_REQUEST_STATUS_UNAVAILABLE = 503,
   PROXY_REQUEST_ERROR_BODY_BYTES_MAX = 160,
 };
 
@@ -70,6 +73,15 @@
          && gs_exchange_header (exchange, "Content-Encoding") == NULL;
 }
 
+/* Whether callers on a platform take STATUS as a promise that the request has not run. */
+static bool
+promises_not_run (long status)
+{
+  return status == PROXY_REQUEST_STATUS_REQUEST_TIMEOUT
+         || status == PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS
+         || status == PROXY_REQUEST_STATUS_UNAVAILABLE;
+}
+
 /* Classifies a complete answer of an upstream that uses a platform's header names. */
 static GsOutcome
 classify_platform_answer (const GsHeaderNames *header_names, const GsExchange *exchange)
@@ -80,6 +92,8 @@
     return GS_OUTCOME_MISDIRECTED;
   if (gs_exchange_header (exchange, header_names->not_run) != NULL)
     return GS_OUTCOME_REFUSED;
+  if (promises_not_run (status))
+    return GS_OUTCOME_TRUNCATED; /* the statement that the status needs is missing */
   if (status >= 500)
     return GS_OUTCOME_ERROR;
   if (status < 300 && !is_genuine (header_names, exchange))
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../../platform/platform.h"
 #include "../../src/gentian/http/entry.h"
 #include "fixture.h"
 
@@ -95,12 +96,13 @@
   gs_engine_post (fixture->engine, &edit);
 }
 
+/* HEADER_NAMES may be NULL, see GsEntryOptions. */
 static EntryFixture *
-entry_fixture_new (GsRepeat repeat)
+entry_fixture_new (GsRepeat repeat, const GsHeaderNames *header_names)
 {
   EntryFixture *fixture = g_new0 (EntryFixture, 1);
   GsEngineOptions engine = { .settings = &fixture->settings };
-  GsEntryOptions entry = { 0 };
+  GsEntryOptions entry = { .header_names = header_names };
   uint16_t ports[UPSTREAMS];
 
   fixture->loop = ev_loop_new (EVFLAG_AUTO);
@@ -201,7 +203,7 @@
  * is read once more by the server, and was suspended when the server stopped. */
 START_TEST (request_that_comes_at_the_end_of_a_stop_is_refused)
 {
-  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE);
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE, NULL);
   char answer[ANSWER_BYTES_MAX];
   int caller = connect_caller (fixture);
 
@@ -221,7 +223,7 @@
  * at another upstream that may have run. */
 START_TEST (not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
 {
-  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE);
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE, NULL);
   char answer[ANSWER_BYTES_MAX];
   int caller = connect_caller (fixture);
   int upstream;
@@ -242,6 +244,39 @@
 }
 END_TEST
 
+/* Guards against a promise that no upstream gave: to callers on the platform these statuses mean
+ * that the request has not run, but the upstream did not state that. */
+START_TEST (status_without_the_upstreams_statement_promises_nothing)
+{
+  static const char *const statuses[] = { "503", "429", "408" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, &platform_header_names);
+      char answer[ANSWER_BYTES_MAX];
+      g_autofree char *text = NULL;
+      int caller = connect_caller (fixture);
+      int upstream;
+
+      send_text (caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+                         "Gentianscale-Request-Id: a1\r\n\r\n");
+      upstream = accept_attempt (fixture);
+      text = g_strdup_printf ("HTTP/1.1 %s Busy\r\nGentianscale-Request-Id: a1\r\n"
+                              "Gentianscale-Response-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+                              statuses[i]);
+      send_text (upstream, text);
+      wait_readable (fixture, caller);
+      read_answer (caller, answer);
+      ck_assert_ptr_nonnull (strstr (answer, "HTTP/1.1 502 "));
+      ck_assert_ptr_null (strstr (answer, "Response-Stamp"));
+      close (upstream);
+      close (caller);
+      entry_fixture_free (fixture);
+    }
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &request_that_comes_at_the_end_of_a_stop_is_refused,
-              &not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
+              &not_run_of_the_last_attempt_says_nothing_of_earlier_ones,
+              &status_without_the_upstreams_statement_promises_nothing)
