--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -13,7 +13,10 @@
 enum
 {
   PROXY_REQUEST_STREAM_BLOCK_BYTES = 64 * 1024,
+  PROXY_REQUEST_STATUS_REQUEST_TIMEOUT = 408,
   PROXY_REQUEST_STATUS_MISDIRECTED = 421,
+  PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS = 429,
+  PROXY_REQUEST_STATUS_UNAVAILABLE = 503,
   PROXY_REQUEST_ERROR_BODY_BYTES_MAX = 160,
 };
 
@@ -72,6 +75,15 @@
          && gs_exchange_header (exchange, "Content-Encoding") == NULL;
 }
 
+/* Whether callers on a platform take STATUS as a promise that the request has not run. */
+static bool
+promises_not_run (long status)
+{
+  return status == PROXY_REQUEST_STATUS_REQUEST_TIMEOUT
+         || status == PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS
+         || status == PROXY_REQUEST_STATUS_UNAVAILABLE;
+}
+
 /* Classifies a complete answer of an upstream that uses a platform's header names. */
 static GsOutcome
 classify_platform_answer (const GsHeaderNames *header_names, const GsExchange *exchange)
@@ -82,6 +94,8 @@
     return GS_OUTCOME_MISDIRECTED;
   if (gs_exchange_header (exchange, header_names->not_run) != NULL)
     return GS_OUTCOME_REFUSED;
+  if (promises_not_run (status))
+    return GS_OUTCOME_TRUNCATED; /* the statement that the status needs is missing */
   if (status >= 500)
     return GS_OUTCOME_ERROR;
   if (status < 300 && !is_genuine (header_names, exchange))
@@ -222,19 +236,34 @@
   MHD_add_response_header (data, name, joined != NULL ? joined : value);
 }
 
+/* An answer that states "not run" speaks of its own attempt only. */
+static void
+correct_verdict (struct MHD_Response *response, GsVerdict earlier_verdict)
+{
+  const char *verdict = MHD_get_response_header (response, "Gentian-Verdict");
+
+  if (verdict == NULL || strcmp (verdict, gs_verdict_name (GS_VERDICT_NOT_RUN)) != 0)
+    return;
+  MHD_del_response_header (response, "Gentian-Verdict", verdict);
+  MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (earlier_verdict));
+}
+
 static void
-add_answer_headers (const GsProxyRequest *request, struct MHD_Response *response)
+add_answer_headers (const GsProxyRequest *request,
+                    struct MHD_Response *response,
+                    GsVerdict earlier_verdict)
 {
   gs_exchange_headers (request->exchange, add_header, response);
   if (gs_exchange_status (request->exchange) >= 500 && request->context->header_names->verdicts
       && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
     MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  correct_verdict (response, earlier_verdict);
 }
 
-static void start_streaming (GsProxyRequest *request);
+static void start_streaming (GsProxyRequest *request, GsVerdict earlier_verdict);
 
 static void
-send_answer (GsProxyRequest *request)
+send_answer (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
   size_t length;
   const void *body = gs_exchange_body (request->exchange, &length);
@@ -243,12 +272,12 @@
 
   if (gs_exchange_state (request->exchange) == GS_EXCHANGE_STREAMING)
     {
-      start_streaming (request); /* only a part of the body is in memory */
+      start_streaming (request, earlier_verdict); /* only a part of the body is in memory */
       return;
     }
   response = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
   gs_counter_add (GS_COUNTER_ANSWERS, 1);
-  add_answer_headers (request, response);
+  add_answer_headers (request, response, earlier_verdict);
   /* Other requests may use the connection from here on. */
   g_clear_pointer (&request->exchange, gs_exchange_free);
   set_answer (request, (unsigned int)status, response);
@@ -315,11 +344,8 @@
     return got;
   if (got == GS_EXCHANGE_READ_END)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  if (got == GS_EXCHANGE_READ_PENDING)
-    {
-      request->context->suspend (request);
-      return 0;
-    }
+  if (got == GS_EXCHANGE_READ_PENDING && request->context->suspend (request))
+    return 0;
   request->stream_failed = true;
   reset_unframed (request);
   return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -327,7 +353,7 @@
 
 /* Starts to pass a large answer on while it is still received. */
 static void
-start_streaming (GsProxyRequest *request)
+start_streaming (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
   int64_t length = gs_exchange_length (request->exchange);
   GsEvent event
@@ -338,7 +364,7 @@
 
   gs_engine_post (request->context->engine, &event);
   request->streaming = true;
-  add_answer_headers (request, response);
+  add_answer_headers (request, response, earlier_verdict);
   set_answer (request, (unsigned int)gs_exchange_status (request->exchange), response);
 }
 
@@ -406,7 +432,7 @@
   log_answer_end (request);
   if (state == GS_EXCHANGE_STREAMING && classify (request, effect) == GS_OUTCOME_OK)
     {
-      start_streaming (request);
+      start_streaming (request, GS_VERDICT_NOT_RUN);
       return;
     }
   if (state != GS_EXCHANGE_FAILED)
@@ -515,7 +541,7 @@
       start_attempt (request);
       break;
     case GS_EFFECT_ANSWER:
-      send_answer (request);
+      send_answer (request, effect->answer.earlier_verdict);
       break;
     case GS_EFFECT_CACHED_ANSWER:
       send_cached_answer (request);
