Use the newest tables of a page that are valid

When a page of the log held valid tables and then odd ones, the valid ones were not read: callers were served by the tables before. Tables followed by a NUL and other bytes were taken for valid, as the text ended at the NUL.

The newest record that decodes is used, and the refusal of a newer one is logged.

With the old choice of the record, and with the old length: store:valid_tables_before_odd_ones_are_used: used_revision (odd_last, 3, &refused) == 0, 7 == 7 store:tables_that_are_followed_by_a_nul_are_refused: tables.document is not NULL Both pass with the change.

--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -304,52 +304,39 @@
   return revision;
 }
 
-/* Posts the tables of RECORD and pushes them on, if they are newer than those in force. */
+/* Posts TABLES and pushes them on, if they are newer than those in force. */
 static void
-post_tables (GsStoreWatcher *watcher, const GsStoreRecord *record)
+post_tables (GsStoreWatcher *watcher, GsStoreTables *tables)
 {
-  g_autoptr (GError) error = NULL;
-  gsize length;
-  const char *bytes = g_bytes_get_data (record->value, &length);
-  g_autofree char *text = g_strndup (bytes, length);
-  GsDocument *document = watcher->tables->class->parse_tables (
-      GS_ENGINE_STORE_WORKSPACE, record->key, text, strlen (text), &error);
-  GsSnapshotEntry entry = { .workspace = GS_ENGINE_STORE_WORKSPACE, .text = text };
-  GsEvent event = { .kind = GS_EVENT_TABLES_SNAPSHOT,
-                    .tables_snapshot
-                    = { .entries = &entry, .documents = &document, .n_entries = 1, .last = true } };
-
-  if (document == NULL)
-    {
-      g_autofree char *reason = loggable (error->message, WATCHER_TEXT_CHARACTERS);
-      gs_log (GS_LOG_EVENT_TABLES_REFUSED, "offset=%" G_GUINT64_FORMAT " reason=\"%s\"",
-              record->offset, reason);
-      return;
-    }
-  if (document->revision <= tables_revision (watcher))
-    {
-      gs_document_free (document);
-      return;
-    }
-  entry.revision = document->revision;
-  event.tables_snapshot.position = document->revision;
+  GsSnapshotEntry entry = { .workspace = GS_ENGINE_STORE_WORKSPACE, .text = tables->text };
+  GsEvent event
+      = { .kind = GS_EVENT_TABLES_SNAPSHOT,
+          .tables_snapshot
+          = { .entries = &entry, .documents = &tables->document, .n_entries = 1, .last = true } };
+
+  if (tables->document->revision <= tables_revision (watcher))
+    return;
+  entry.revision = tables->document->revision;
+  event.tables_snapshot.position = entry.revision;
   gs_engine_post (watcher->engine, &event);
+  tables->document = NULL; /* the core owns it */
   gs_engine_push_tables_snapshot (watcher->engine);
 }
 
 static void
 process_tables_page (GsStoreWatcher *watcher, const GsStorePage *page)
 {
-  const GsStoreRecord *newest = NULL;
+  GsStoreTables tables = gs_store_decode_tables (watcher->tables, GS_ENGINE_STORE_WORKSPACE, page);
 
-  for (guint i = 0; i < page->records->len; i++)
+  if (tables.refused != NULL)
     {
-      const GsStoreRecord *record = &g_array_index (page->records, GsStoreRecord, i);
-      if (record->value != NULL && strcmp (record->key, watcher->tables->class->tables_key) == 0)
-        newest = record;
+      g_autofree char *reason = loggable (tables.refused->message, WATCHER_TEXT_CHARACTERS);
+      gs_log (GS_LOG_EVENT_TABLES_REFUSED, "offset=%" G_GUINT64_FORMAT " reason=\"%s\"",
+              tables.refused_offset, reason);
     }
-  if (newest != NULL)
-    post_tables (watcher, newest);
+  if (tables.document != NULL)
+    post_tables (watcher, &tables);
+  gs_store_tables_clear (&tables);
   watcher->tables_position = page->next_offset;
 }
 
--- a/src/gentian/store/store.c
+++ b/src/gentian/store/store.c
@@ -69,3 +69,52 @@
   g_strlcpy (change->registration.id, record->key, sizeof change->registration.id);
   return true;
 }
+
+/* Decodes RECORD into TABLES. RETURN VALUE: false when it holds no valid tables. */
+static bool
+decode_tables_record (const GsStore *store,
+                      const char *workspace,
+                      const GsStoreRecord *record,
+                      GsStoreTables *tables)
+{
+  g_autoptr (GError) error = NULL;
+  gsize length;
+  const char *bytes = g_bytes_get_data (record->value, &length);
+
+  tables->document = store->class->parse_tables (workspace, record->key, bytes != NULL ? bytes : "",
+                                                 length, &error);
+  if (tables->document != NULL)
+    {
+      tables->text = g_strndup (bytes, length);
+      return true;
+    }
+  if (tables->refused == NULL)
+    {
+      tables->refused = g_steal_pointer (&error);
+      tables->refused_offset = record->offset;
+    }
+  return false;
+}
+
+GsStoreTables
+gs_store_decode_tables (const GsStore *store, const char *workspace, const GsStorePage *page)
+{
+  GsStoreTables tables = { .document = NULL };
+
+  for (guint i = page->records->len; i > 0; i--)
+    {
+      const GsStoreRecord *record = &g_array_index (page->records, GsStoreRecord, i - 1);
+      if (record->value != NULL && strcmp (record->key, store->class->tables_key) == 0
+          && decode_tables_record (store, workspace, record, &tables))
+        break;
+    }
+  return tables;
+}
+
+void
+gs_store_tables_clear (GsStoreTables *tables)
+{
+  g_clear_pointer (&tables->document, gs_document_free);
+  g_clear_pointer (&tables->text, g_free);
+  g_clear_error (&tables->refused);
+}
--- a/src/gentian/store/store.h
+++ b/src/gentian/store/store.h
@@ -130,4 +130,18 @@
                              GsRegistryChange *change,
                              GError **error);
 
+/** Tables that were read from the store. */
+typedef struct
+{
+  GsDocument *document; /**< NULL: none */
+  char *text;           /**< of the document; NULL: none */
+  GError *refused;      /**< why the newest record is not used; NULL: it is, or there is none */
+  uint64_t refused_offset;
+} GsStoreTables;
+
+/** Decodes the newest record in PAGE that holds valid tables. The result has to be cleared. */
+GsStoreTables
+gs_store_decode_tables (const GsStore *store, const char *workspace, const GsStorePage *page);
+void gs_store_tables_clear (GsStoreTables *tables);
+
 #endif
--- a/test/unit/test_store.c
+++ b/test/unit/test_store.c
@@ -102,6 +102,86 @@
 }
 END_TEST
 
+static void
+add_tables (GsStorePage *page, const char *key, const char *version, const char *rest)
+{
+  g_autofree char *text
+      = g_strdup_printf ("{\"Version\":\"%s\",\"Routes\":[],\"Services\":[]}%s", version, rest);
+
+  gs_store_page_add (page, page->records->len, g_strdup (key), g_bytes_new (text, strlen (text)));
+}
+
+/* Reads records of tables with the given keys, versions, and bytes after them. RETURN VALUE: the
+ * revision that is used; 0: none. */
+static uint64_t
+used_revision (const char *const rows[][3], size_t count, bool *refused)
+{
+  GsStore *store = platform_store_new ("http://127.0.0.1:9");
+  GsStorePage page = gs_store_page_empty ();
+  GsStoreTables tables;
+  uint64_t revision;
+
+  for (size_t i = 0; i < count; i++)
+    add_tables (&page, rows[i][0], rows[i][1], rows[i][2]);
+  tables = gs_store_decode_tables (store, "w", &page);
+  revision = tables.document != NULL ? tables.document->revision : 0;
+  *refused = tables.refused != NULL;
+  ck_assert (!*refused || tables.refused_offset == count - 1);
+  ck_assert_int_eq (tables.document != NULL, tables.text != NULL);
+  gs_store_tables_clear (&tables);
+  gs_store_page_clear (&page);
+  gs_store_free (store);
+  return revision;
+}
+
+/* Callers were served by the tables before those, until the next valid ones. */
+START_TEST (valid_tables_before_odd_ones_are_used)
+{
+  static const char *const odd_last[][3]
+      = { { "config", "r6", "" }, { "config", "r7", "" }, { "config", "7", "" } };
+  static const char *const odd_before[][3]
+      = { { "config", "r6", "" }, { "config", "7", "" }, { "config", "r7", "" } };
+  static const char *const trailing_bytes[][3]
+      = { { "config", "r7", "" }, { "config", "r8", "}" } };
+  static const char *const other_key[][3] = { { "config", "r7", "" }, { "other", "r8", "" } };
+  bool refused;
+
+  ck_assert_uint_eq (used_revision (odd_last, 3, &refused), 7);
+  ck_assert (refused);
+  ck_assert_uint_eq (used_revision (odd_before, 3, &refused), 7);
+  ck_assert (!refused);
+  ck_assert_uint_eq (used_revision (trailing_bytes, 2, &refused), 7);
+  ck_assert (refused);
+  ck_assert_uint_eq (used_revision (other_key, 2, &refused), 7);
+  ck_assert (!refused);
+  ck_assert_uint_eq (used_revision (&odd_last[2], 1, &refused), 0);
+  ck_assert (refused);
+  ck_assert_uint_eq (used_revision (odd_last, 0, &refused), 0);
+  ck_assert (!refused);
+}
+END_TEST
+
+START_TEST (tables_that_are_followed_by_a_nul_are_refused)
+{
+  static const char text[] = "{\"Version\":\"r7\",\"Routes\":[],\"Services\":[]}\0x";
+  GsStore *store = platform_store_new ("http://127.0.0.1:9");
+  GsStorePage page = gs_store_page_empty ();
+  GsStoreTables tables;
+
+  gs_store_page_add (&page, 1, g_strdup ("config"), g_bytes_new (text, sizeof text - 1));
+  gs_store_page_add (&page, 2, g_strdup ("config"), g_bytes_new ("", 0));
+  gs_store_page_add (&page, 3, g_strdup ("config"), NULL);
+  tables = gs_store_decode_tables (store, "w", &page);
+  ck_assert_ptr_null (tables.document);
+  ck_assert_ptr_nonnull (tables.refused);
+  gs_store_tables_clear (&tables);
+  gs_store_page_clear (&page);
+  gs_store_free (store);
+}
+END_TEST
+
 FIXTURE_MAIN ("store",
               &record_whose_key_is_no_id_concerns_no_server,
-              &odd_value_ends_its_own_registration_only)
+              &odd_value_ends_its_own_registration_only,
+              &valid_tables_before_odd_ones_are_used,
+              &tables_that_are_followed_by_a_nul_are_refused)
