Do not report an edit as accepted on an answer that is not whole

gentianctl printed "accepted: workspace default, revision 0" with exit code 0 when the daemon's answer ended inside its head, as libcurl, which ulfius uses, reports success for it. It showed "(null)" as the tables, and compared a file with a null pointer.

It uses store/service_client now. An answer that is not whole, or lacks the fields that a command needs, is no answer: exit code 4.

On the old code: gentianctl:submission_without_a_whole_answer_is_not_accepted: submit, 19 bytes: exit code 0 gentianctl:answer_without_the_expected_body_is_no_answer: show, 58 bytes: exit code 0 They pass with the change.

--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS) -o $@ $^ $(CHECK_LIBS) $(LDLIBS)
 
+# It runs the program.
+$(B)/unit/test_gentianctl: | $(B)/gentianctl
+
 $(B)/property/%: $(B)/test/property/%.o $(LIBRARY)
 	@mkdir -p $(@D)
 	$(CXX) $(CXXFLAGS) -o $@ $^ -lrapidcheck $(LDLIBS)
--- a/src/gentianctl/main.c
+++ b/src/gentianctl/main.c
@@ -1,14 +1,16 @@
 /* gentianctl: command-line client of the administration API, which every daemon serves. */
 #include <argp.h>
+#include <jansson.h>
 #include <sodium.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <ulfius.h>
 #include <zmq.h>
 
 #include "../gentian/config/settings.h"
 #include "../gentian/config/tables.h"
 #include "../gentian/http/admin.h"
+#include "../gentian/store/service_client.h"
 
 enum
 {
@@ -17,7 +19,7 @@
   EXIT_CONFLICT = 3,  /* another edit came first, or another workspace has the route */
   EXIT_NO_ANSWER = 4, /* the daemon or the log does not answer */
   EXIT_DENIED = 5,    /* the credential is missing, invalid or for another workspace */
-  CTL_TIMEOUT_S = 30,
+  CTL_TIMEOUT_MS = 30000,
   CTL_POSITIONAL_MAX = 4,
 };
 
@@ -64,46 +66,52 @@
   return status == 422 || status == 404 ? EXIT_REFUSED : EXIT_NO_ANSWER;
 }
 
-/* Calls the API. RETURN VALUE: the body of the answer, or NULL. Sets EXIT_CODE to the exit code of
- * gentianctl. */
-static json_t *
-call (const Arguments *arguments,
-      const char *method,
-      const char *path,
-      const char *body,
-      int *exit_code)
+/* RETURN VALUE: value of the header that authorizes a call, or NULL. */
+static char *
+read_authorization (const Arguments *arguments)
 {
-  struct _u_request request;
-  struct _u_response response;
-  g_autofree char *url = g_strconcat (arguments->url, path, NULL);
   g_autofree char *credential
       = arguments->credential_file != NULL ? read_file (arguments->credential_file) : NULL;
-  g_autofree char *header = NULL;
-  json_t *answer = NULL;
 
-  *exit_code = EXIT_NO_ANSWER;
-  ulfius_init_request (&request);
-  ulfius_init_response (&response);
-  request.timeout = CTL_TIMEOUT_S;
-  ulfius_set_request_properties (&request, U_OPT_HTTP_VERB, method, U_OPT_HTTP_URL, url,
-                                 U_OPT_NONE);
-  if (credential != NULL)
-    {
-      header = g_strconcat ("Bearer ", g_strstrip (credential), NULL);
-      u_map_put (request.map_header, "Authorization", header);
-    }
-  if (body != NULL)
-    ulfius_set_binary_body_request (&request, body, strlen (body));
-  if (ulfius_send_http_request (&request, &response) == U_OK)
+  return credential != NULL ? g_strconcat ("Bearer ", g_strstrip (credential), NULL) : NULL;
+}
+
+/* Calls the API; with BODY, the method is POST. RETURN VALUE: the body of the answer, or NULL. Sets
+ * EXIT_CODE to the exit code of gentianctl. */
+static json_t *
+call (const Arguments *arguments, const char *path, const char *body, int *exit_code)
+{
+  GsServiceClientOptions options
+      = { .base_url = arguments->url, .connect_timeout_ms = CTL_TIMEOUT_MS, .allow_proxy = true };
+  GsServiceClient *client = gs_service_client_new (&options);
+  g_autofree char *authorization = read_authorization (arguments);
+  g_autoptr (GBytes) bytes = body != NULL ? g_bytes_new (body, strlen (body)) : NULL;
+  GsServiceCall service_call = {
+    .path = path, .body = bytes, .authorization = authorization, .timeout_ms = CTL_TIMEOUT_MS
+  };
+  GsServiceAnswer answer = gs_service_client_call (client, &service_call);
+  json_t *parsed = json_loadb (answer.body, answer.length, 0, NULL);
+
+  *exit_code = status_to_exit (answer.status);
+  if (answer.status == 0 || (*exit_code == EXIT_SUCCESS && parsed == NULL))
     {
-      answer = json_loadb (response.binary_body, response.binary_body_length, 0, NULL);
-      *exit_code = status_to_exit (response.status);
+      *exit_code = EXIT_NO_ANSWER;
+      fprintf (stderr, "gentianctl: no whole answer from %s\n", arguments->url);
     }
-  else
-    fprintf (stderr, "gentianctl: no answer from %s\n", arguments->url);
-  ulfius_clean_request (&request);
-  ulfius_clean_response (&response);
-  return answer;
+  gs_service_client_free (client);
+  return parsed;
+}
+
+/* Turns the success of a call whose answer lacks a field into a failure. */
+static void
+check_field (const json_t *answer, const char *field, json_type type, int *exit_code)
+{
+  const json_t *value = json_object_get (answer, field);
+
+  if (*exit_code != EXIT_SUCCESS || (value != NULL && json_typeof (value) == type))
+    return;
+  *exit_code = EXIT_NO_ANSWER;
+  fprintf (stderr, "gentianctl: the answer has no valid field %s\n", field);
 }
 
 static void
@@ -137,7 +145,7 @@
 get_and_print (const Arguments *arguments, const char *path)
 {
   int exit_code;
-  json_t *answer = call (arguments, "GET", path, NULL, &exit_code);
+  json_t *answer = call (arguments, path, NULL, &exit_code);
 
   if (exit_code != EXIT_SUCCESS)
     print_api_error (answer);
@@ -151,10 +159,12 @@
 get_tables (const Arguments *arguments, int *exit_code)
 {
   g_autofree char *path = g_strdup_printf ("/v1/admin/tables?workspace=%s", arguments->workspace);
-  json_t *answer = call (arguments, "GET", path, NULL, exit_code);
+  json_t *answer = call (arguments, path, NULL, exit_code);
 
   if (*exit_code != EXIT_SUCCESS)
     print_api_error (answer);
+  check_field (answer, "revision", JSON_INTEGER, exit_code);
+  check_field (answer, "tables", JSON_STRING, exit_code);
   return answer;
 }
 
@@ -238,8 +248,9 @@
       "/v1/admin/tables?workspace=%s&base=%" JSON_INTEGER_FORMAT "&submission=%s",
       arguments->workspace, base, submission);
   int exit_code;
-  json_t *answer = call (arguments, "POST", path, text, &exit_code);
+  json_t *answer = call (arguments, path, text, &exit_code);
 
+  check_field (answer, "revision", JSON_INTEGER, &exit_code);
   if (exit_code != EXIT_SUCCESS)
     {
       print_api_error (answer);
@@ -288,8 +299,9 @@
       g_autofree char *path
           = g_strdup_printf ("/v1/admin/tables?workspace=%s&after=%" JSON_INTEGER_FORMAT,
                              arguments->workspace, last_revision);
-      json_t *answer = call (arguments, "GET", path, NULL, &exit_code);
+      json_t *answer = call (arguments, path, NULL, &exit_code);
       json_int_t revision = json_integer_value (json_object_get (answer, "revision"));
+      check_field (answer, "revision", JSON_INTEGER, &exit_code);
       if (exit_code != EXIT_SUCCESS)
         print_api_error (answer);
       else if (revision > last_revision)
