--- a/test/unit/test_log_client.c
+++ b/test/unit/test_log_client.c
@@ -43,15 +43,19 @@
   static const struct
   {
     unsigned int status;
+    const char *body;
     GsAppendResult result;
-  } rows[] = { { 503, GS_APPEND_NOT_DONE }, { 200, GS_APPEND_DONE }, { 500, GS_APPEND_UNKNOWN } };
+  } rows[] = { { 503, append_body, GS_APPEND_NOT_DONE },
+               { 503, "", GS_APPEND_NOT_DONE },
+               { 200, append_body, GS_APPEND_DONE },
+               { 500, append_body, GS_APPEND_UNKNOWN } };
   LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     for (LoopbackFraming framing = 0; framing <= LOOPBACK_UNFRAMED; framing++)
       {
         g_autoptr (GByteArray) answer
-            = loopback_answer (rows[i].status, framing, append_body, strlen (append_body));
+            = loopback_answer (rows[i].status, framing, rows[i].body, strlen (rows[i].body));
         guint whole = answer->len - (framing == LOOPBACK_CHUNKED ? 1 : 0);
         for (guint length = 0; length < whole; length++)
           ck_assert_msg (append_once (server, answer->data, length) == GS_APPEND_UNKNOWN,
