--- a/test/unit/test_store_client.c
+++ b/test/unit/test_store_client.c
@@ -215,23 +215,6 @@
 }
 END_TEST
 
-/* The records between the requested offset and the end of the log would be skipped. */
-START_TEST (log_page_without_the_records_before_the_end_is_a_gap)
-{
-  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
-
-  for (uint64_t end = 0; end <= END_OFFSET; end++)
-    {
-      g_autoptr (GByteArray) body = log_body (end);
-      g_autoptr (GByteArray) answer = loopback_answer (200, LOOPBACK_LENGTH, body->data, body->len);
-      ck_assert_msg (result_of (server, CALL_READ, answer->data, answer->len)
-                         == (end > FROM_OFFSET ? GS_STORE_GAP : GS_STORE_OK),
-                     "end %u", (unsigned int)end);
-    }
-  loopback_free (server);
-}
-END_TEST
-
 /* RETURN VALUE: the record of KEY in PAGE, or NULL. */
 static const GsStoreRecord *
 find_record (const GsStorePage *page, const char *key)
@@ -249,138 +232,6 @@
   ck_assert_msg (page->next_offset == next_offset, "%.80s", odd);
 }
 
-/* A record has no name when its content does not hold a key; a NUL would cut the key to the one of
- * another record. */
-START_TEST (odd_record_at_any_position_leaves_the_others)
-{
-  static const struct
-  {
-    const char *content;
-    size_t length;
-  } odd[] = { { "", 0 },           { "\001", 1 },        { "\000", 1 },
-              { "\000value", 6 },  { "\005abc", 4 },     { "\377abc", 4 },
-              { "\003a\000x", 4 }, { "\003a\000xy", 5 }, { "\002\377\376{", 4 },
-              { "\001b{", 3 } };
-  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
-
-  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
-    for (int position = 0; position < 3; position++)
-      {
-        g_autoptr (GByteArray) body = log_body (FROM_OFFSET + 3);
-        g_autoptr (GByteArray) answer = NULL;
-        GsStorePage page;
-        int good = 0;
-        for (int place = 0; place < 3; place++)
-          if (place == position)
-            append_record (body, odd[i].content, odd[i].length);
-          else
-            append_record (body, good++ == 0 ? "\001ax" : "\001cx", 3);
-        answer = loopback_answer (200, LOOPBACK_LENGTH, body->data, body->len);
-        ck_assert_int_eq (call_once (server, CALL_READ, answer->data, answer->len, &page),
-                          GS_STORE_OK);
-        assert_others_hold (&page, FROM_OFFSET + 3, odd[i].content);
-        ck_assert_uint_eq (find_record (&page, "a")->offset, FROM_OFFSET + (position == 0 ? 1 : 0));
-        gs_store_page_clear (&page);
-      }
-  loopback_free (server);
-}
-END_TEST
-
-/* RETURN VALUE: a newly allocated text of DEPTH opening brackets and as many closing ones. */
-static char *
-nested (char open, const char *between, char close, int depth)
-{
-  GString *text = g_string_new (NULL);
-
-  for (int i = 0; i < depth; i++)
-    {
-      g_string_append_c (text, open);
-      if (i < depth - 1)
-        g_string_append (text, between);
-    }
-  for (int i = 0; i < depth; i++)
-    g_string_append_c (text, close);
-  return g_string_free (text, FALSE);
-}
-
-/* Reads a page with the item ODD at each position among those of the keys a and c. */
-static void
-assert_item_is_left_out (LoopbackServer *server, const char *odd)
-{
-  static const char *const good[] = { "{\"Key\":\"a\",\"Value\":\"eA==\",\"Offset\":3}",
-                                      "{\"Key\":\"c\",\"Value\":\"eQ==\",\"Offset\":8}" };
-
-  for (int position = 0; position < 3; position++)
-    {
-      GString *text = g_string_new ("{\"items\":[");
-      g_autoptr (GByteArray) answer = NULL;
-      GsStorePage page;
-      GsStoreResult result;
-      int next = 0;
-      for (int place = 0; place < 3; place++)
-        g_string_append_printf (text, "%s%s", place > 0 ? "," : "",
-                                place == position ? odd : good[next++]);
-      g_string_append (text, "],\"More\":false,\"EndOffset\":9}");
-      answer = loopback_answer (200, LOOPBACK_LENGTH, text->str, text->len);
-      g_string_free (text, TRUE);
-      result = call_once (server, CALL_NEWEST, answer->data, answer->len, &page);
-      ck_assert_msg (result == GS_STORE_OK, "%.80s at %d", odd, position);
-      assert_others_hold (&page, END_OFFSET, odd);
-      ck_assert_msg (find_record (&page, "b") == NULL, "%.80s at %d", odd, position);
-      gs_store_page_clear (&page);
-    }
-}
-
-/* Callers kept the list of before, as every read of the page failed because of the one item. */
-START_TEST (odd_item_at_any_position_leaves_the_others)
-{
-  static const char *const odd[]
-      = { "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":4,\"New\":1e999}",
-          "null",
-          "7",
-          "\"text\"",
-          "[]",
-          "{}",
-          "[{\"Key\":\"b\"}]",
-          "{\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":7,\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":null,\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"b\",\"Offset\":4}",
-          "{\"Key\":\"b\",\"Value\":{},\"Offset\":4}",
-          "{\"Key\":\"b\",\"Value\":\"!!!\",\"Offset\":4}",
-          "{\"Key\":\"b\",\"Value\":\"eA=\",\"Offset\":4}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\"}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":-4}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":4.5}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":\"4\"}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":9223372036854775808}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":1e999}",
-          "{\"Key\":\"b\",\"Value\":\"eA==\",\"Offset\":NaN}",
-
-          "{\"Key\":\"a\\u0000x\",\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"\\ud800\",\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"\377\376\",\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"b\\\"]}\",\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"b\\\\\",\"Value\":\"eA==\",\"Offset\":4}",
-          "{\"Key\":\"\",\"Value\":\"eA==\",\"Offset\":4}" };
-  static const int depths[] = { 1, 2, 100, 2040, 2048, 2060, 10000, 100000 };
-  LoopbackServer *server = loopback_new (LOOPBACK_CLOSES);
-
-  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
-    assert_item_is_left_out (server, odd[i]);
-  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
-    {
-      g_autofree char *arrays = nested ('[', "", ']', depths[i]);
-      g_autofree char *objects = nested ('{', "\"k\":", '}', depths[i]);
-      g_autofree char *field = g_strdup_printf ("{\"Key\":%s}", objects);
-      assert_item_is_left_out (server, arrays);
-      assert_item_is_left_out (server, objects);
-      assert_item_is_left_out (server, field);
-    }
-  loopback_free (server);
-}
-END_TEST
-
 /* Otherwise the first page is taken for the whole list, or the same page is requested for ever. */
 START_TEST (list_that_does_not_go_on_is_not_used)
 {
@@ -452,8 +303,5 @@
               &status_of_a_cut_head_is_not_used,
               &answer_with_contradictory_framing_is_not_used,
               &second_copy_of_an_answer_is_not_taken_for_the_next_one,
-              &log_page_without_the_records_before_the_end_is_a_gap,
-              &odd_record_at_any_position_leaves_the_others,
-              &odd_item_at_any_position_leaves_the_others,
               &list_that_does_not_go_on_is_not_used,
               &list_goes_on_after_an_odd_item_that_ends_a_page)
