--- a/src/gentian/core/base.h
+++ b/src/gentian/core/base.h
@@ -21,6 +21,9 @@
  */
 #define GS_NAME_MAX 63
 
+/** Longest time for which an upstream's `Retry-After` is honoured. */
+#define GS_QUIET_MAX_MS UINT32_C (60000)
+
 /** Whether a request may have run at a backend server. Every error response carries it. */
 typedef enum
 {
--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -58,6 +58,7 @@
   core->attempts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   core->last_crashes = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   core->leaving_upstreams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  core->quiet_until = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   core->pending_claims = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   core->peers_by_origin = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   core->registry = gs_registry_new ();
@@ -75,6 +76,7 @@
   g_hash_table_destroy (core->requests);
   g_hash_table_destroy (core->attempts);
   g_hash_table_destroy (core->last_crashes);
+  g_hash_table_destroy (core->quiet_until);
   g_hash_table_destroy (core->pending_claims);
   g_hash_table_destroy (core->leaving_upstreams);
   g_hash_table_destroy (core->peers_by_origin);
@@ -314,6 +316,7 @@
   update_ready (core);
   gs_members_tick (core->members, core->now_us);
   log_member_changes (core);
+  notice_tick (core);
   tick_pools (core);
   scheduling_tick (core);
   request_tick (core);
@@ -444,8 +447,9 @@
   GHashTableIter iter;
   gpointer value;
 
+  if (notice_leaving (core, report))
+    return;
   update_leaving_upstreams (core, report);
-
   g_hash_table_iter_init (&iter, core->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -124,6 +124,8 @@
   bool has_load;     /**< the answer stated the upstream's load */
   uint16_t running;  /**< requests that the upstream is executing */
   uint16_t waiting;  /**< requests queued at the upstream */
+  uint32_t quiet_ms; /**< the upstream refused and wants no requests from here for so long; 0: not
+                          stated */
 } GsAttemptEndEvent;
 
 typedef struct
@@ -166,6 +168,9 @@
   char upstream[GS_NAME_MAX + 1];
   bool leaving;
   bool notify_peers;
+  uint64_t attempt;    /**< whose answer said so; 0: not from an answer */
+  bool registered;     /**< the upstream registers itself, and started_ms is valid */
+  uint64_t started_ms; /**< its incarnation */
 } GsUpstreamReport;
 
 /** Registration changes, read from the store or received from a daemon that read them. */
@@ -266,6 +271,8 @@
   GS_EFFECT_EVIDENCE,
   GS_EFFECT_CRASH_UPDATE,
   GS_EFFECT_UPSTREAM_REPORT,
+  GS_EFFECT_REPORT_BROADCAST,
+  GS_EFFECT_REQUEST_HELD_BACK,
   GS_EFFECT_DROP_CONNECTIONS,
   GS_EFFECT_EDIT_RESULT,
   GS_EFFECT_REGISTRY_UPDATE,
@@ -332,6 +339,13 @@
     GsEvidence evidence;
     GsCrashUpdate crash_update;
     GsUpstreamReport upstream_report;
+    struct
+    {
+      GsUpstreamReport report;
+      GsPeerAddress *recipients; /**< the effect owns them */
+      uint32_t n_recipients;
+    } report_broadcast;
+    uint64_t held_back; /**< request that was kept from an upstream that leaves or is quiet */
     GsPeerAddress drop; /**< ipv4 and port of the upstream */
     struct
     {
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -3,9 +3,10 @@
  *   core_private - state shared by the parts of the reducer
  *
  * DESCRIPTION
- *   For core.c, request.c, scheduling.c, permit.c and effects.c only. core.c dispatches events,
- * request.c tracks a request from arrival to answer, scheduling.c requests and grants slots,
- * permit.c handles tickets and claims, effects.c builds effects.
+ *   For core.c, request.c, scheduling.c, notice.c, permit.c and effects.c only. core.c dispatches
+ * events, request.c tracks a request from arrival to answer, scheduling.c requests and grants
+ * slots, notice.c keeps what upstreams say in their answers, permit.c handles tickets and claims,
+ * effects.c builds effects.
  */
 #ifndef GS_CORE_PRIVATE_H
 #define GS_CORE_PRIVATE_H
@@ -93,6 +94,8 @@
   uint64_t scheduler_hash;        /* of the id of the scheduler's daemon; 0: this daemon */
   int64_t slot_reply_due_us;      /* when the reply is overdue */
   int64_t slot_request_resend_us; /* time of resending if unanswered; 0: not again */
+  bool slot_renewed;              /* a grant was returned since an upstream leaves or is quiet */
+  int64_t quiet_until_us;         /* earliest return of an upstream that it was kept from */
   bool slot_request_queued;       /* the scheduler replied that no slot is free yet */
   uint64_t silent_schedulers[CORE_SILENT_SCHEDULERS_MAX];
   uint8_t n_silent_schedulers;
@@ -103,7 +106,8 @@
   uint64_t id;
   uint64_t request;
   PoolState *pool;
-  uint64_t upstream; /* key */
+  uint64_t upstream;   /* key */
+  uint64_t started_ms; /* incarnation of an upstream that registers itself */
   uint64_t fingerprint;
   int64_t started_us;
   bool forward;
@@ -144,6 +148,7 @@
   GHashTable *attempts;          /* id -> Attempt */
   GHashTable *last_crashes;      /* upstream key -> UpstreamCrash */
   GHashTable *leaving_upstreams; /* id of an upstream reported as leaving -> time of the report */
+  GHashTable *quiet_until;       /* key of an upstream that wants no requests -> int64_t time */
   GHashTable *pending_claims;    /* claim -> PendingClaim */
   GHashTable *peers_by_origin;   /* origin of slot requests -> GsPeerAddress */
   GsRegistry *registry;
@@ -237,8 +242,23 @@
                                          const GsRegistryUpdate *update,
                                          const GsPeerAddress *from);
 void scheduling_tables_changed (GsCore *core);
+void scheduling_sync_upstreams (GsCore *core);
 void scheduling_tick (GsCore *core);
 
+/* notice.c */
+/* Handles a report that an upstream leaves. RETURN VALUE: false if the upstream is one of the
+ * tables, whose pools keep its state. */
+bool notice_leaving (GsCore *core, const GsUpstreamReport *report);
+bool notice_is_leaving (const GsCore *core, const char *upstream, uint64_t started_ms);
+/* Records that the upstream of ATTEMPT wants no requests from here for QUIET_MS; 0: not stated. */
+void notice_quiet (GsCore *core, const Attempt *attempt, uint32_t quiet_ms);
+/* RETURN VALUE: time until the upstream with key UPSTREAM wants requests again. */
+int64_t notice_quiet_left_us (const GsCore *core, uint64_t upstream);
+/* RETURN VALUE: delay after which a refused caller may return to an upstream that is quiet for
+ * QUIET_US more, spread at random; 0 if it is not quiet. */
+uint32_t notice_retry_after_ms (GsCore *core, int64_t quiet_us);
+void notice_tick (GsCore *core);
+
 /* permit.c */
 void permit_redeem (GsCore *core, Request *request);
 void permit_holder_failed (GsCore *core, Request *request, GsOutcome outcome);
--- a/src/gentian/core/effects.c
+++ b/src/gentian/core/effects.c
@@ -41,6 +41,8 @@
           g_free ((GsRegistryChange *)effect->registry_update.update.changes);
           g_free (effect->registry_update.recipients);
         }
+      if (effect->kind == GS_EFFECT_REPORT_BROADCAST)
+        g_free (effect->report_broadcast.recipients);
     }
   g_array_set_size (effects->effects, 0);
 }
--- a/src/gentian/core/log_event.h
+++ b/src/gentian/core/log_event.h
@@ -43,6 +43,9 @@
   X (BELIEF_CHANGED, 3105, GS_LOG_LEVEL_NOTICE, "upstream-belief-changed")                         \
   X (REGISTRATION_CHANGED, 3106, GS_LOG_LEVEL_NOTICE, "registration-changed")                      \
   X (RETRY_BUDGET_REACHED, 3108, GS_LOG_LEVEL_NOTICE, "repeat-budget-reached")                     \
+  X (UPSTREAM_LEAVING_LEARNED, 3109, GS_LOG_LEVEL_NOTICE, "upstream-leaving-learned")              \
+  X (UPSTREAM_QUIET, 3110, GS_LOG_LEVEL_NOTICE, "upstream-quiet")                                  \
+  X (REQUEST_HELD_BACK, 3111, GS_LOG_LEVEL_INFO, "request-held-back")                              \
   X (REGISTRATION_REFUSED, 3107, GS_LOG_LEVEL_WARNING, "registration-refused")                     \
   X (UPSTREAM_STATE_CHANGED, 3101, GS_LOG_LEVEL_NOTICE, "upstream-state-changed")                  \
   X (CRASH_SUSPECTED, 3102, GS_LOG_LEVEL_WARNING, "crash-suspected")                               \
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -75,6 +75,7 @@
   int64_t warming_since_us;
   int64_t in_rotation_since_us;
   int64_t backoff_until_us;
+  int64_t quiet_until_us; /* it asked for no requests until then */
   int64_t leaving_reported_us;
   int64_t last_answer_us;
   int64_t fresh_since_us; /* attempts sent since then use fresh connections; 0: never */
@@ -599,7 +600,8 @@
 {
   const Upstream *upstream = &pool->upstreams[index];
 
-  if (was_tried (options, index) || upstream->backoff_until_us > options->now_us)
+  if (was_tried (options, index) || upstream->backoff_until_us > options->now_us
+      || upstream->quiet_until_us > options->now_us)
     return false;
   if (upstream->outstanding >= slot_limit (pool, upstream, options->now_us))
     return false;
@@ -614,7 +616,8 @@
     return -1;
   for (uint16_t i = 0; i < pool->n_upstreams; i++)
     if (pool->upstreams[i].state == GS_UPSTREAM_TRIAL && pool->upstreams[i].outstanding == 0
-        && pool->upstreams[i].backoff_until_us <= options->now_us)
+        && pool->upstreams[i].backoff_until_us <= options->now_us
+        && pool->upstreams[i].quiet_until_us <= options->now_us)
       return i;
   return -1;
 }
@@ -652,6 +655,23 @@
   return best;
 }
 
+void
+gs_pool_set_quiet (GsPool *pool, uint16_t index, int64_t until_us)
+{
+  pool->upstreams[index].quiet_until_us = MAX (pool->upstreams[index].quiet_until_us, until_us);
+}
+
+int64_t
+gs_pool_quiet_left_us (const GsPool *pool, int64_t now_us)
+{
+  int64_t least_us = INT64_MAX;
+
+  for (uint16_t i = 0; i < pool->n_upstreams; i++)
+    if (in_rotation (&pool->upstreams[i]))
+      least_us = MIN (least_us, MAX (pool->upstreams[i].quiet_until_us - now_us, 0));
+  return least_us != INT64_MAX ? least_us : 0;
+}
+
 static void
 tick_upstream (GsPool *pool, uint16_t index, int64_t now_us)
 {
--- a/src/gentian/core/pool.h
+++ b/src/gentian/core/pool.h
@@ -110,6 +110,13 @@
 /** RETURN VALUE: index of the upstream with the least expected wait and a free slot, or -1. */
 int gs_pool_select (GsPool *pool, const GsPoolSelectOptions *options);
 
+/** Excludes UPSTREAM from selection until UNTIL_US, as it asked. */
+void gs_pool_set_quiet (GsPool *pool, uint16_t upstream, int64_t until_us);
+
+/** RETURN VALUE: time until the first upstream in rotation is no longer quiet; 0 when one is not,
+ * or none is in rotation. */
+int64_t gs_pool_quiet_left_us (const GsPool *pool, int64_t now_us);
+
 /** Counts an attempt that starts at UPSTREAM. */
 void gs_pool_begin_attempt (GsPool *pool, uint16_t upstream);
 
--- a/src/gentian/core/registry.c
+++ b/src/gentian/core/registry.c
@@ -10,6 +10,8 @@
   int64_t read_us;
   bool removed;
   int64_t removal_due_us; /* when a delayed removal takes effect; 0: it is not delayed */
+  bool announced_leaving; /* an answer of the incarnation below said so */
+  uint64_t leaving_started_ms;
 } RegistryEntry;
 
 struct GsRegistry
@@ -44,12 +46,26 @@
   g_free (registry);
 }
 
+/* Whether the incarnation of ENTRY that started at STARTED_MS announced that it leaves. */
+static bool
+has_announced_leaving (const RegistryEntry *entry, uint64_t started_ms)
+{
+  return entry->announced_leaving && entry->leaving_started_ms == started_ms;
+}
+
+static bool
+is_leaving (const RegistryEntry *entry)
+{
+  return entry->registration.leaving
+         || has_announced_leaving (entry, entry->registration.started_ms);
+}
+
 static GsRegistrationState
 state_of (const RegistryEntry *entry)
 {
   if (entry == NULL || (entry->removed && entry->removal_due_us == 0))
     return GS_REGISTRATION_GONE;
-  if (entry->registration.leaving)
+  if (is_leaving (entry))
     return GS_REGISTRATION_LEAVING;
   return entry->removed ? GS_REGISTRATION_DOUBTFUL : GS_REGISTRATION_SERVING;
 }
@@ -71,14 +87,30 @@
 affects_routing (const RegistryEntry *old, const GsRegistration *heartbeat)
 {
   const GsRegistration *known = &old->registration;
+  bool leaving = heartbeat->leaving || has_announced_leaving (old, heartbeat->started_ms);
 
-  return state_of (old) != (heartbeat->leaving ? GS_REGISTRATION_LEAVING : GS_REGISTRATION_SERVING)
+  return state_of (old) != (leaving ? GS_REGISTRATION_LEAVING : GS_REGISTRATION_SERVING)
          || known->started_ms != heartbeat->started_ms || known->ipv4 != heartbeat->ipv4
          || known->port != heartbeat->port || known->slots != heartbeat->slots
          || strcmp (known->pool, heartbeat->pool) != 0
          || strcmp (known->failure_domain, heartbeat->failure_domain) != 0;
 }
 
+/* RETURN VALUE: a new entry without a registration, or NULL when there are too many. */
+static RegistryEntry *
+add_entry (GsRegistry *registry, const char *id, int64_t now_us)
+{
+  RegistryEntry *entry;
+
+  if (g_hash_table_size (registry->entries) >= GS_REGISTRY_MAX)
+    return NULL;
+  entry = g_new0 (RegistryEntry, 1);
+  entry->removed = true;
+  entry->read_us = now_us;
+  g_hash_table_insert (registry->entries, g_strdup (id), entry);
+  return entry;
+}
+
 static bool
 apply_heartbeat (GsRegistry *registry, const GsRegistryChange *change, int64_t now_us)
 {
@@ -87,18 +119,19 @@
   bool changed;
 
   if (entry == NULL)
-    {
-      if (g_hash_table_size (registry->entries) >= GS_REGISTRY_MAX)
-        return false;
-      entry = g_new0 (RegistryEntry, 1);
-      entry->removed = true;
-      g_hash_table_insert (registry->entries, g_strdup (heartbeat->id), entry);
-    }
+    entry = add_entry (registry, heartbeat->id, now_us);
   else if (is_outdated (entry, heartbeat))
     return false;
+  if (entry == NULL)
+    return false;
   changed = affects_routing (entry, heartbeat);
-  *entry
-      = (RegistryEntry){ .registration = *heartbeat, .offset = change->offset, .read_us = now_us };
+  entry->registration = *heartbeat;
+  entry->offset = change->offset;
+  entry->read_us = now_us;
+  entry->removed = false;
+  entry->removal_due_us = 0;
+  if (entry->leaving_started_ms < heartbeat->started_ms)
+    entry->announced_leaving = false;
   return changed;
 }
 
@@ -106,7 +139,7 @@
 static int64_t
 removal_due_time_us (const RegistryEntry *entry, const GsStoreState *store, int64_t now_us)
 {
-  if (entry->registration.leaving)
+  if (is_leaving (entry))
     return 0;
   if (store->unavailable)
     return now_us + GS_REGISTRY_REMOVAL_DELAY_US;
@@ -139,25 +172,62 @@
   return true;
 }
 
+static bool
+apply_record (GsRegistry *registry,
+              const GsRegistryChange *change,
+              const GsStoreState *store,
+              int64_t now_us)
+{
+  RegistryEntry *entry = g_hash_table_lookup (registry->entries, change->registration.id);
+
+  if (entry != NULL && change->offset < entry->offset + (change->present ? 1 : 0))
+    return false;
+  if (change->present)
+    return apply_heartbeat (registry, change, now_us);
+  return entry != NULL && remove_entry (entry, change->offset, store, now_us);
+}
+
 bool
 gs_registry_apply (GsRegistry *registry,
                    const GsRegistryChange *change,
                    const GsStoreState *store,
                    int64_t now_us)
 {
-  RegistryEntry *entry = g_hash_table_lookup (registry->entries, change->registration.id);
-  bool changed;
+  const GsRegistration *registration = &change->registration;
+  bool changed = apply_record (registry, change, store, now_us);
 
-  if (entry != NULL && change->offset < entry->offset + (change->present ? 1 : 0))
-    return false;
-  if (change->present)
-    changed = apply_heartbeat (registry, change, now_us);
-  else
-    changed = entry != NULL && remove_entry (entry, change->offset, store, now_us);
   registry->epoch += changed ? 1 : 0;
+  if (change->present && change->announced_leaving)
+    changed = gs_registry_announce_leaving (registry, registration->id, registration->started_ms,
+                                            now_us)
+              || changed;
   return changed;
 }
 
+bool
+gs_registry_announce_leaving (GsRegistry *registry,
+                              const char *id,
+                              uint64_t started_ms,
+                              int64_t now_us)
+{
+  RegistryEntry *entry = g_hash_table_lookup (registry->entries, id);
+
+  if (entry == NULL)
+    {
+      entry = add_entry (registry, id, now_us);
+      if (entry == NULL)
+        return false;
+      entry->registration.started_ms = started_ms; /* outdates earlier incarnations */
+    }
+  if (started_ms < entry->registration.started_ms
+      || (entry->announced_leaving && started_ms <= entry->leaving_started_ms))
+    return false;
+  entry->announced_leaving = true;
+  entry->leaving_started_ms = started_ms;
+  registry->epoch++;
+  return true;
+}
+
 bool
 gs_registry_apply_snapshot (GsRegistry *registry,
                             const GsRegistryChange *changes,
@@ -291,6 +361,8 @@
         continue;
       changes[(*count)++] = (GsRegistryChange){ .offset = entry->offset,
                                                 .present = true,
+                                                .announced_leaving = has_announced_leaving (
+                                                    entry, entry->registration.started_ms),
                                                 .registration = entry->registration };
     }
   return changes;
--- a/src/gentian/core/registry.h
+++ b/src/gentian/core/registry.h
@@ -16,7 +16,12 @@
  *   A registration expires when no heartbeats of its server arrive, which also happens while the
  * store is unavailable. A removal read during such an outage, or shortly after it, is therefore
  * delayed for GS_REGISTRY_REMOVAL_DELAY_US: the server stays usable, in the doubtful state, until
- * it registers again or the delay is over. Pure: no I/O, no clock. Tested by
+ * it registers again or the delay is over.
+ *
+ *   An upstream may also announce in an answer that it leaves. That holds for its incarnation,
+ * whatever its registrations say before or after, until a newer incarnation registers or the
+ * registration has been removed for GS_REGISTRY_TOMBSTONE_US. It may be learned before the
+ * registration is. Pure: no I/O, no clock. Tested by
  * test/unit/test_registry.c and test/property/prop_registry.cpp.
  */
 #ifndef GS_REGISTRY_H
@@ -54,8 +59,9 @@
 /** One record: a registration, or the removal of one. */
 typedef struct
 {
-  uint64_t offset; /**< in the log */
-  bool present;    /**< false: removed or unusable; then only the id is valid */
+  uint64_t offset;        /**< in the log */
+  bool present;           /**< false: removed or unusable; then only the id is valid */
+  bool announced_leaving; /**< an answer of this incarnation said that it leaves */
   GsRegistration registration;
 } GsRegistryChange;
 
@@ -97,6 +103,13 @@
                                  const GsStoreState *store,
                                  int64_t now_us);
 
+/** Records that an answer of the incarnation of ID that started at STARTED_MS announced that it
+ * leaves. RETURN VALUE: true if that is new and no newer incarnation is known. */
+bool gs_registry_announce_leaving (GsRegistry *registry,
+                                   const char *id,
+                                   uint64_t started_ms,
+                                   int64_t now_us);
+
 /** Records that everything before POSITION has been read. */
 void gs_registry_advance (GsRegistry *registry, uint64_t position);
 
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -247,8 +247,17 @@
                               .flow = request->flow,
                               .deadline_us = request->deadline_us,
                               .weight = request->weight };
+  int64_t quiet_us = gs_pool_quiet_left_us (state->pool, core->now_us);
   uint64_t evicted;
 
+  if (quiet_us > 0
+      && core->now_us + quiet_us + gs_pool_latency_us (state->pool) > request->deadline_us)
+    {
+      core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
+      request->retry_after_ms = notice_retry_after_ms (core, quiet_us);
+      request_fail (core, request, STATUS_UNAVAILABLE, "upstreams-quiet");
+      return;
+    }
   if (gs_pool_in_rotation (state->pool) <= request->n_tried)
     {
       request_fail (core, request, STATUS_UNAVAILABLE, "no-other-upstream");
@@ -555,6 +564,8 @@
     return;
   gs_pool_view (pool, (uint16_t)index, &view);
   gs_pool_end_attempt (pool, (uint16_t)index, &result);
+  gs_pool_set_quiet (pool, (uint16_t)index,
+                     core->now_us + notice_quiet_left_us (core, attempt->upstream));
   if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CRASHED)
     drop_connections (core, &view, gs_outcome_name (event->outcome));
   if (event->outcome == GS_OUTCOME_LEAVING)
@@ -662,6 +673,7 @@
   g_hash_table_steal (core->attempts, &attempt->id);
   request = request_find (core, attempt->request);
   state = attempt->pool;
+  notice_quiet (core, attempt, event->quiet_ms);
   if (attempt->grant != 0)
     {
       scheduling_attempt_end (core, request, attempt, event);
--- a/src/gentian/core/scheduler.c
+++ b/src/gentian/core/scheduler.c
@@ -55,6 +55,8 @@
 #define SCHEDULER_BUDGET_REPORT_INTERVAL_US GS_US_PER_S
 /** Spread of retry_after_ms, as part of the expected wait. */
 #define SCHEDULER_RETRY_AFTER_SPREAD 0.6
+/** Spread of the same after a quiet time, as part of that time. */
+#define SCHEDULER_QUIET_SPREAD 0.25
 
 typedef struct
 {
@@ -130,6 +132,7 @@
     "repeat-budget",
     "no-upstream",
     "attempt-may-finish",
+    "upstreams-quiet",
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (reasons); i++)
@@ -291,7 +294,8 @@
 {
   Grant *grant = g_new0 (Grant, 1);
 
-  if (!request->is_retry) /* counted at the grant: a slot request may be sent to two homes */
+  if (!request->is_retry
+      && !request->is_renewed) /* counted at the grant: a slot request may be sent to two homes */
     gs_retry_budget_add_request (scheduler->retry_budget, now_us);
   *grant = (Grant){ .id = reply->grant,
                     .request_key = request_key (request->origin, request->token),
@@ -345,6 +349,7 @@
   reply = make_reply (scheduler, request, GS_SLOT_GRANTED, selected.reason);
   reply.grant = ++scheduler->next_grant;
   reply.upstream = selected.key;
+  reply.started_ms = selected.started_ms;
   g_strlcpy (reply.upstream_id, selected.id, sizeof reply.upstream_id);
   reply.ipv4 = selected.ipv4;
   reply.port = selected.port;
@@ -361,6 +366,26 @@
   return true;
 }
 
+static GsSelectionCriteria
+quiet_criteria (const GsSlotRequest *request, int64_t now_us)
+{
+  return (GsSelectionCriteria){ .now_us = now_us,
+                                .origin = request->origin,
+                                .tried = request->tried,
+                                .n_tried = request->n_tried };
+}
+
+/* Whether every upstream left for REQUEST is quiet until it would miss its target. */
+static bool
+must_outwait_quiet (const GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
+{
+  GsSelectionCriteria criteria = quiet_criteria (request, now_us);
+  int64_t quiet_us = gs_upstream_set_quiet_us (scheduler->upstreams, &criteria);
+  int64_t mean_us = gs_latency_stats_mean_us (&scheduler->durations, request->flow);
+
+  return quiet_us > 0 && now_us + quiet_us + mean_us > request->target_us;
+}
+
 /* RETURN VALUE: why a queued request cannot succeed any more, or NULL. */
 static const char *
 unservable_reason (const GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
@@ -370,12 +395,35 @@
     return "deadline-out-of-reach";
   if (gs_upstream_set_count_usable (scheduler->upstreams, request->tried, request->n_tried) == 0)
     return request->n_tried > 0 ? "no-other-upstream" : "no-upstream";
+  if (must_outwait_quiet (scheduler, request, now_us))
+    return "upstreams-quiet";
   return NULL;
 }
 
+/* Delay after which the upstreams of a request that are all quiet take it: the return of one of
+ * them, each as likely as it has slots, and some time on top so that those who wait for the same
+ * one do not arrive together. 0: not all are quiet. */
+static uint32_t
+quiet_retry_after_ms (GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
+{
+  GsSelectionCriteria criteria = quiet_criteria (request, now_us);
+  int64_t return_us;
+
+  if (gs_upstream_set_quiet_us (scheduler->upstreams, &criteria) == 0)
+    return 0;
+  return_us = gs_upstream_set_pick_return_us (scheduler->upstreams, &criteria);
+  return_us += (int64_t)(SCHEDULER_QUIET_SPREAD * (double)return_us
+                         * gs_random_unit (&scheduler->random));
+  return (uint32_t)(return_us / GS_US_PER_MS) + 1;
+}
+
 static uint32_t
 retry_after_for (GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
 {
+  uint32_t quiet_ms = quiet_retry_after_ms (scheduler, request, now_us);
+
+  if (quiet_ms != 0)
+    return quiet_ms;
   if (gs_upstream_set_count_usable (scheduler->upstreams, NULL, 0) == 0)
     return SCHEDULER_RETRY_AFTER_EMPTY_MS;
   return retry_after_ms (scheduler, expected_wait_us (scheduler, request, now_us));
@@ -624,7 +672,7 @@
   if (repeat_reply (scheduler, request, now_us))
     return;
   entry.late = misses_target (scheduler, request, now_us);
-  if (!request->is_retry)
+  if (!request->is_retry && !request->is_renewed)
     record_arrival (scheduler, now_us);
   reason = admission_refusal_reason (scheduler, request, now_us);
   if (reason != NULL)
@@ -757,6 +805,11 @@
   if (result->outcome <= GS_OUTCOME_REFUSED)
     gs_upstream_set_record_shed (scheduler->upstreams, result->upstream,
                                  result->outcome == GS_OUTCOME_REFUSED, now_us);
+  if (result->leaving)
+    gs_upstream_set_exclude (scheduler->upstreams, result->upstream);
+  if (result->quiet_ms != 0)
+    gs_upstream_set_record_quiet (scheduler->upstreams, result->upstream, result->origin, now_us,
+                                  now_us + (int64_t)result->quiet_ms * GS_US_PER_MS);
   if (result->has_load)
     gs_upstream_set_record_load (scheduler->upstreams, result->upstream, result->running,
                                  result->waiting, now_us);
--- a/src/gentian/core/scheduler.h
+++ b/src/gentian/core/scheduler.h
@@ -24,6 +24,10 @@
  * is unlikely to be answered in time it is refused at once, with the time after which a slot should
  * be free.
  *
+ *   An upstream that asked an origin to stay away for a while gets none of that origin's requests
+ * until then. A request whose upstreams all asked so is refused unless one of them returns before
+ * the request's target; the time that it is told spreads such requests over the upstreams' returns.
+ *
  *   Safety does not depend on the scheduler: when two daemons both consider themselves the home of
  * a pool, they assign the same slots until one of them stops. Pure: no I/O, no clock. Tested by
  * test/unit/test_scheduler.c, test/property/prop_scheduler.cpp and test/unit/test_load.c.
@@ -55,6 +59,7 @@
   uint8_t priority;        /**< 0 is the most urgent */
   bool is_retry;           /**< the request has reached an upstream before */
   bool last_attempt;       /**< the request may not be sent anywhere after this */
+  bool is_renewed;         /**< an earlier grant of the request was returned unused */
   uint64_t replaced_grant; /**< of the late attempt that a new one ends; 0: none */
   uint8_t n_tried;
   uint64_t tried[GS_SLOT_TRIED_MAX]; /**< keys of upstreams to avoid */
@@ -79,6 +84,7 @@
   uint32_t retry_after_ms; /**< refused: when a slot should be free; 0: unknown */
   uint64_t grant;          /**< granted: number of the grant */
   uint64_t upstream;       /**< granted: key */
+  uint64_t started_ms;     /**< granted: incarnation of the upstream */
   char upstream_id[GS_NAME_MAX + 1];
   uint32_t ipv4; /**< host byte order */
   uint16_t port;
@@ -104,6 +110,8 @@
   bool has_load;     /**< the answer reported the upstream's load */
   uint16_t running;  /**< requests in progress at the upstream */
   uint16_t waiting;  /**< requests queued at the upstream */
+  bool leaving;      /**< the upstream announced that it leaves */
+  uint32_t quiet_ms; /**< the upstream wants no requests from the origin for so long */
 } GsSlotResult;
 
 /** Construction options. */
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -210,6 +210,7 @@
           .priority = request->priority,
           .is_retry = request->reached_upstream,
           .last_attempt = request->n_executions + 1 >= request->max_executions,
+          .is_renewed = request->slot_renewed,
           .deadline_us = request->deadline_us,
           .target_us = request->target_us };
 
@@ -336,20 +337,118 @@
   return address->ipv4 == 0;
 }
 
+/* The result of a grant that was not used. */
+static GsSlotResult
+make_unused_result (const GsCore *core, const GsSlotReply *reply)
+{
+  return (GsSlotResult){ .origin = core->origin,
+                         .token = reply->token,
+                         .grant = reply->grant,
+                         .upstream = reply->upstream,
+                         .outcome = GS_OUTCOME_CANCELLED };
+}
+
 /* Releases a slot granted to a request that no longer waits for it. */
 static void
 return_grant (GsCore *core, const GsSlotReply *reply, const GsPeerAddress *from)
 {
-  GsSlotResult result = { .origin = core->origin,
-                          .token = reply->token,
-                          .grant = reply->grant,
-                          .upstream = reply->upstream,
-                          .outcome = GS_OUTCOME_CANCELLED };
+  GsSlotResult result = make_unused_result (core, reply);
 
   if (!is_local (from))
     send_slot_result (core, 0, &result, from);
 }
 
+/* Returns a grant for an upstream that must get no requests from here, and tells its scheduler
+ * why. */
+static void
+return_held_grant (GsCore *core,
+                   PoolState *state,
+                   const GsSlotReply *reply,
+                   const GsPeerAddress *from,
+                   int64_t quiet_us)
+{
+  GsSlotResult result = make_unused_result (core, reply);
+
+  result.leaving = notice_is_leaving (core, reply->upstream_id, reply->started_ms);
+  result.quiet_ms = (uint32_t)((quiet_us + GS_US_PER_MS - 1) / GS_US_PER_MS);
+  if (!is_local (from))
+    {
+      send_slot_result (core, state->key, &result, from);
+      return;
+    }
+  gs_scheduler_release (get_scheduler (core, state), &result, core->now_us);
+  deliver_replies (core, state);
+}
+
+/* Finishes a request without another attempt: with the error answer of the last one, else with 503
+ * when it has not run, 504 when its deadline has passed and 502 otherwise. */
+static void
+finish_request (GsCore *core, Request *request, const char *reason, uint32_t retry_after_ms)
+{
+  uint16_t status = SCHEDULING_STATUS_BAD_GATEWAY;
+
+  if (request->holds_answer)
+    {
+      request_send_answer (core, request, GS_OUTCOME_ERROR);
+      return;
+    }
+  request->retry_after_ms = retry_after_ms != 0 ? retry_after_ms : SCHEDULING_RETRY_AFTER_MS;
+  if (request->worst_verdict == GS_VERDICT_NOT_RUN)
+    status = SCHEDULING_STATUS_UNAVAILABLE;
+  else if (request->deadline_us <= core->now_us)
+    status = SCHEDULING_STATUS_TIMEOUT;
+  request_fail (core, request, status, reason);
+}
+
+/* Looks for another upstream for a request that was kept from the one it got. A late attempt just
+ * continues. */
+static void
+request_other_slot (GsCore *core, Request *request, uint64_t upstream, const char *reason)
+{
+  bool has_room = request->n_tried < G_N_ELEMENTS (request->tried);
+
+  if (has_room)
+    request->tried[request->n_tried++] = upstream;
+  if (request->phase == REQUEST_RUNNING)
+    return;
+  if (has_room)
+    scheduling_request_slot (core, request);
+  else
+    finish_request (core, request, reason,
+                    notice_retry_after_ms (core, request->quiet_until_us - core->now_us));
+}
+
+/*
+ * Returns the grant if its upstream announced that it leaves or wants no requests from this daemon
+ * now. The scheduler may not know yet, or be a new one that never learned it. RETURN VALUE: false
+ * when the attempt may start.
+ */
+static bool
+hold_back (GsCore *core, Request *request, const GsSlotReply *reply, const GsPeerAddress *from)
+{
+  bool leaving = notice_is_leaving (core, reply->upstream_id, reply->started_ms);
+  int64_t quiet_us = notice_quiet_left_us (core, reply->upstream);
+  const char *reason = leaving ? "upstream-leaving" : "upstreams-quiet";
+
+  if (!leaving && quiet_us == 0)
+    return false;
+  set_slot_request_pending (core, request, false);
+  request->slot_renewed = true;
+  if (quiet_us > 0
+      && (request->quiet_until_us <= core->now_us
+          || core->now_us + quiet_us < request->quiet_until_us))
+    request->quiet_until_us = core->now_us + quiet_us;
+  core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
+  core_log_event (core, GS_LOG_EVENT_REQUEST_HELD_BACK,
+                  "request=%" G_GUINT64_FORMAT " id=%s pool=%s upstream=%s reason=%s "
+                  "quiet_us=%" G_GINT64_FORMAT,
+                  request->id, request->label, request->pool->name, reply->upstream_id,
+                  leaving ? "leaving" : "quiet", quiet_us);
+  return_held_grant (core, request->pool, reply, from, quiet_us);
+  request_other_slot (core, request, reply->upstream, reason);
+  return true;
+}
+
 static void
 start_granted_attempt (GsCore *core,
                        Request *request,
@@ -369,6 +468,7 @@
   request->holds_answer = false;
   attempt = request_start_attempt (core, request, reply->upstream, reply->upstream_id);
   attempt->grant = reply->grant;
+  attempt->started_ms = reply->started_ms;
   request->grant = reply->grant;
   attempt->token = reply->token;
   attempt->is_retry = request->reached_upstream;
@@ -389,26 +489,6 @@
       attempt->is_retry ? "yes" : "no", reply->waited_us, core->now_us - request->arrived_us);
 }
 
-/* Finishes a request without another attempt: with the error answer of the last one, else with 503
- * when it has not run, 504 when its deadline has passed and 502 otherwise. */
-static void
-finish_request (GsCore *core, Request *request, const char *reason, uint32_t retry_after_ms)
-{
-  uint16_t status = SCHEDULING_STATUS_BAD_GATEWAY;
-
-  if (request->holds_answer)
-    {
-      request_send_answer (core, request, GS_OUTCOME_ERROR);
-      return;
-    }
-  request->retry_after_ms = retry_after_ms != 0 ? retry_after_ms : SCHEDULING_RETRY_AFTER_MS;
-  if (request->worst_verdict == GS_VERDICT_NOT_RUN)
-    status = SCHEDULING_STATUS_UNAVAILABLE;
-  else if (request->deadline_us <= core->now_us)
-    status = SCHEDULING_STATUS_TIMEOUT;
-  request_fail (core, request, status, reason);
-}
-
 void
 scheduling_receive_slot_reply (GsCore *core, const GsSlotReply *reply, const GsPeerAddress *from)
 {
@@ -434,7 +514,8 @@
   switch (reply->verdict)
     {
     case GS_SLOT_GRANTED:
-      start_granted_attempt (core, request, reply, from);
+      if (!hold_back (core, request, reply, from))
+        start_granted_attempt (core, request, reply, from);
       break;
     case GS_SLOT_QUEUED:
       if (!request->slot_request_queued)
@@ -447,7 +528,11 @@
       break;
     case GS_SLOT_REFUSED:
       set_slot_request_pending (core, request, false);
-      finish_request (core, request, reply->reason, reply->retry_after_ms);
+      if (strcmp (reply->reason, "upstreams-quiet") == 0)
+        core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
+      finish_request (core, request, reply->reason,
+                      MAX (reply->retry_after_ms,
+                           notice_retry_after_ms (core, request->quiet_until_us - core->now_us)));
       break;
     }
 }
@@ -542,6 +627,8 @@
                          .upstream = attempt->upstream,
                          .flow = flow,
                          .outcome = event->outcome,
+                         .leaving = notice_is_leaving (core, attempt->target, attempt->started_ms),
+                         .quiet_ms = MIN (event->quiet_ms, GS_QUIET_MAX_MS),
                          .answer_us = core->now_us - attempt->started_us,
                          .bytes = event->bytes,
                          .has_load = event->has_load,
@@ -776,8 +863,8 @@
     }
 }
 
-static void
-sync_all_upstreams (GsCore *core)
+void
+scheduling_sync_upstreams (GsCore *core)
 {
   GHashTableIter iter;
   gpointer value;
@@ -821,7 +908,7 @@
   if (changed)
     {
       log_registration_changes (core, update);
-      sync_all_upstreams (core);
+      scheduling_sync_upstreams (core);
     }
   if (update->read_here)
     send_registry_update (core, update);
@@ -871,7 +958,7 @@
   core->tick_gap_us = core->now_us - core->last_tick_us;
   core->last_tick_us = core->now_us;
   if (gs_registry_tick (core->registry, core->now_us))
-    sync_all_upstreams (core);
+    scheduling_sync_upstreams (core);
   g_hash_table_iter_init (&iter, core->pools);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/src/gentian/core/upstream_set.c
+++ b/src/gentian/core/upstream_set.c
@@ -107,7 +107,8 @@
 
 struct GsUpstreamSet
 {
-  GArray *upstreams; /* of Upstream */
+  GArray *upstreams;       /* of Upstream */
+  GHashTable *quiet_until; /* hash of upstream key and origin -> int64_t time */
   GsRandom random;
   GsFaultRates rates;
   double onsets; /* faults seen, decaying */
@@ -126,6 +127,7 @@
   GsUpstreamSet *set = g_new0 (GsUpstreamSet, 1);
 
   set->upstreams = g_array_new (FALSE, TRUE, sizeof (Upstream));
+  set->quiet_until = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   set->random.state = seed;
   set->rates.recovery_per_s = 1 / GS_BELIEF_FAULT_DURATION_S;
   set->rates.onset_per_s = UPSTREAM_PRIOR_FAULTS / UPSTREAM_PRIOR_S;
@@ -138,6 +140,7 @@
   if (set == NULL)
     return;
   g_array_unref (set->upstreams);
+  g_hash_table_destroy (set->quiet_until);
   g_free (set);
 }
 
@@ -259,6 +262,18 @@
   return false;
 }
 
+/* Time for which UPSTREAM wants no requests of ORIGIN; 0: it wants them. */
+static int64_t
+quiet_left_us (const GsUpstreamSet *set, const Upstream *upstream, uint64_t origin, int64_t now_us)
+{
+  uint64_t pair = gs_mix64 (upstream->key ^ gs_mix64 (origin));
+  const int64_t *until_us = g_hash_table_size (set->quiet_until) > 0
+                                ? g_hash_table_lookup (set->quiet_until, &pair)
+                                : NULL;
+
+  return until_us != NULL ? MAX (*until_us - now_us, 0) : 0;
+}
+
 static uint32_t
 used_slots (const Upstream *upstream, int64_t now_us)
 {
@@ -285,9 +300,12 @@
 }
 
 static bool
-is_ineligible (const Upstream *upstream, const GsSelectionCriteria *criteria)
+is_ineligible (const GsUpstreamSet *set,
+               const Upstream *upstream,
+               const GsSelectionCriteria *criteria)
 {
   return !is_usable (upstream) || has_bad_path (upstream, criteria->origin, criteria->now_us)
+         || quiet_left_us (set, upstream, criteria->origin, criteria->now_us) > 0
          || contains_key (upstream->key, criteria->tried, criteria->n_tried);
 }
 
@@ -383,6 +401,7 @@
 {
   *info = (GsUpstreamInfo){ .key = upstream->key,
                             .id = upstream->registration.id,
+                            .started_ms = upstream->registration.started_ms,
                             .ipv4 = upstream->registration.ipv4,
                             .port = upstream->registration.port,
                             .outstanding = (uint16_t)MIN (upstream->outstanding, UINT16_MAX),
@@ -437,7 +456,7 @@
       const Upstream *upstream = upstream_at (set, i);
       double failing;
       if (!is_idle (upstream, criteria->now_us) || failed_recently (upstream, criteria->now_us)
-          || is_ineligible (upstream, criteria) || !has_free_slot (upstream, criteria->now_us))
+          || is_ineligible (set, upstream, criteria) || !has_free_slot (upstream, criteria->now_us))
         continue;
       failing = gs_belief_failing (&upstream->belief, &set->rates, criteria->now_us);
       if (failing >= least)
@@ -473,7 +492,7 @@
       double failing = gs_belief_failing (&upstream->belief, &set->rates, criteria->now_us);
       bool is_probe;
       double cost;
-      if (is_ineligible (upstream, criteria) || !has_free_slot (upstream, criteria->now_us))
+      if (is_ineligible (set, upstream, criteria) || !has_free_slot (upstream, criteria->now_us))
         continue;
       is_probe = !criteria->no_probe && needs_probe (set, upstream, criteria);
       if (failing > limit && !is_probe)
@@ -623,6 +642,74 @@
     upstream->excluded = true;
 }
 
+static gboolean
+has_passed (gpointer key, gpointer until_us, gpointer now_us)
+{
+  (void)key;
+  return *(int64_t *)until_us <= *(int64_t *)now_us;
+}
+
+void
+gs_upstream_set_record_quiet (GsUpstreamSet *set,
+                              uint64_t key,
+                              uint64_t origin,
+                              int64_t now_us,
+                              int64_t until_us)
+{
+  uint64_t pair = gs_mix64 (key ^ gs_mix64 (origin));
+  int64_t *known_us = g_hash_table_lookup (set->quiet_until, &pair);
+
+  if (known_us != NULL)
+    {
+      *known_us = MAX (*known_us, until_us);
+      return;
+    }
+  if (g_hash_table_size (set->quiet_until) >= GS_UPSTREAM_SET_QUIET_MAX)
+    g_hash_table_foreach_remove (set->quiet_until, has_passed, &now_us);
+  if (g_hash_table_size (set->quiet_until) < GS_UPSTREAM_SET_QUIET_MAX)
+    g_hash_table_insert (set->quiet_until, g_memdup2 (&pair, sizeof pair),
+                         g_memdup2 (&until_us, sizeof until_us));
+}
+
+static bool
+is_allowed (const Upstream *upstream, const GsSelectionCriteria *criteria)
+{
+  return is_usable (upstream) && !contains_key (upstream->key, criteria->tried, criteria->n_tried);
+}
+
+int64_t
+gs_upstream_set_quiet_us (const GsUpstreamSet *set, const GsSelectionCriteria *criteria)
+{
+  int64_t least_us = INT64_MAX;
+
+  for (guint i = 0; i < set->upstreams->len && least_us > 0; i++)
+    {
+      const Upstream *upstream = upstream_at (set, i);
+      if (is_allowed (upstream, criteria))
+        least_us
+            = MIN (least_us, quiet_left_us (set, upstream, criteria->origin, criteria->now_us));
+    }
+  return least_us != INT64_MAX ? least_us : 0;
+}
+
+int64_t
+gs_upstream_set_pick_return_us (GsUpstreamSet *set, const GsSelectionCriteria *criteria)
+{
+  double slots = 0;
+  int64_t picked_us = 0;
+
+  for (guint i = 0; i < set->upstreams->len; i++)
+    {
+      const Upstream *upstream = upstream_at (set, i);
+      if (!is_allowed (upstream, criteria))
+        continue;
+      slots += upstream->registration.slots;
+      if (gs_random_unit (&set->random) * slots < upstream->registration.slots)
+        picked_us = quiet_left_us (set, upstream, criteria->origin, criteria->now_us);
+    }
+  return picked_us;
+}
+
 void
 gs_upstream_set_record_served (GsUpstreamSet *set, bool served, int64_t now_us)
 {
--- a/src/gentian/core/upstream_set.h
+++ b/src/gentian/core/upstream_set.h
@@ -19,6 +19,7 @@
 {
   GS_UPSTREAM_SET_MAX = 1024,
   GS_UPSTREAM_SET_BAD_PATHS_MAX = 8, /**< daemons remembered per upstream that failed to reach it */
+  GS_UPSTREAM_SET_QUIET_MAX = 65536, /**< quiet times remembered, of pairs of upstream and daemon */
 };
 
 typedef struct GsUpstreamSet GsUpstreamSet;
@@ -43,6 +44,7 @@
 {
   uint64_t key;
   const char *id;
+  uint64_t started_ms;
   uint32_t ipv4;
   uint16_t port;
   uint16_t outstanding;    /**< before the selection */
@@ -107,6 +109,21 @@
  * down, or its address belongs to another instance. */
 void gs_upstream_set_exclude (GsUpstreamSet *set, uint64_t key);
 
+/** Records that the upstream with KEY wants no requests from ORIGIN until UNTIL_US. */
+void gs_upstream_set_record_quiet (GsUpstreamSet *set,
+                                   uint64_t key,
+                                   uint64_t origin,
+                                   int64_t now_us,
+                                   int64_t until_us);
+
+/** RETURN VALUE: time until the first of the upstreams that CRITERIA allow wants requests of the
+ * origin again; 0 when one wants them now or none is allowed. Uses only the origin, the tried
+ * upstreams and the time of CRITERIA. */
+int64_t gs_upstream_set_quiet_us (const GsUpstreamSet *set, const GsSelectionCriteria *criteria);
+
+/** RETURN VALUE: the same for an upstream drawn at random, each as likely as it has slots. */
+int64_t gs_upstream_set_pick_return_us (GsUpstreamSet *set, const GsSelectionCriteria *criteria);
+
 /** Records whether a request of the pool was served, for the share of failed requests. */
 void gs_upstream_set_record_served (GsUpstreamSet *set, bool served, int64_t now_us);
 
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -123,6 +123,18 @@
                        GS_TRANSPORT_CONNECTION, g_bytes_ref (bytes));
 }
 
+static void
+broadcast_report (GsEngine *engine, const GsEffect *effect)
+{
+  GsWireMessage message
+      = { .kind = GS_WIRE_UPSTREAM_REPORT, .upstream_report = effect->report_broadcast.report };
+  g_autoptr (GBytes) bytes = gs_wire_encode (&message);
+
+  for (uint32_t i = 0; i < effect->report_broadcast.n_recipients; i++)
+    gs_transport_send (engine->transport, &effect->report_broadcast.recipients[i],
+                       GS_TRANSPORT_CONNECTION, g_bytes_ref (bytes));
+}
+
 /* Sends a message on a slot or a retry account. Times become durations, since the clocks of two
  * daemons differ. */
 static void
@@ -186,6 +198,12 @@
       message.upstream_report = effect->upstream_report;
       send_message (engine, &effect->to, &message);
       break;
+    case GS_EFFECT_REPORT_BROADCAST:
+      broadcast_report (engine, effect);
+      break;
+    case GS_EFFECT_REQUEST_HELD_BACK:
+      gs_counter_add (GS_COUNTER_HELD_BACK, 1);
+      break;
     case GS_EFFECT_REGISTRY_UPDATE:
       send_registry_update (engine, effect);
       break;
--- a/src/gentian/http/header_names.h
+++ b/src/gentian/http/header_names.h
@@ -29,7 +29,13 @@
   const char *response_stamp;
   /** In answers: requests running and waiting at the upstream, and its slots, comma-separated. */
   const char *server_load;
-  /** Refusals of upstreams have Gentian-Verdict, and Gentian-Leaving at a planned stop. */
+  /** In answers: the upstream leaves. `leaving_alias` is another name for it. */
+  const char *leaving;
+  const char *leaving_alias;
+  /** In refusals with status 503: time for which the upstream wants no requests from the daemon, in
+   * seconds or as a date. */
+  const char *retry_after;
+  /** Refusals of upstreams have Gentian-Verdict. */
   bool verdicts;
 } GsHeaderNames;
 
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -7,11 +7,13 @@
 #include "../log/histogram.h"
 #include "../log/log.h"
 #include "request_head.h"
+#include "retry_after.h"
 
 enum
 {
   PROXY_REQUEST_STREAM_BLOCK_BYTES = 64 * 1024,
   PROXY_REQUEST_STATUS_MISDIRECTED = 421,
+  PROXY_REQUEST_STATUS_UNAVAILABLE = 503,
   PROXY_REQUEST_ERROR_BODY_BYTES_MAX = 160,
 };
 
@@ -70,6 +72,21 @@
          && gs_exchange_header (exchange, "Content-Encoding") == NULL;
 }
 
+/* Whether the answer announces that its upstream leaves. */
+static bool
+announces_leaving (const GsHeaderNames *header_names, const GsExchange *exchange)
+{
+  const char *const names[] = { header_names->leaving, header_names->leaving_alias };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      const char *value = names[i] != NULL ? gs_exchange_header (exchange, names[i]) : NULL;
+      if (value != NULL && (strcmp (value, "1") == 0 || strcmp (value, "true") == 0))
+        return true;
+    }
+  return false;
+}
+
 /* Classifies a complete answer of an upstream that uses a platform's header names. */
 static GsOutcome
 classify_platform_answer (const GsHeaderNames *header_names, const GsExchange *exchange)
@@ -79,7 +96,7 @@
   if (status == PROXY_REQUEST_STATUS_MISDIRECTED)
     return GS_OUTCOME_MISDIRECTED;
   if (gs_exchange_header (exchange, header_names->not_run) != NULL)
-    return GS_OUTCOME_REFUSED;
+    return announces_leaving (header_names, exchange) ? GS_OUTCOME_LEAVING : GS_OUTCOME_REFUSED;
   if (status >= 500)
     return GS_OUTCOME_ERROR;
   if (status < 300 && !is_genuine (header_names, exchange))
@@ -89,14 +106,16 @@
 
 /* Classifies a complete answer: a refusal that states "not run", an error, or a success. */
 static GsOutcome
-classify_answer (const GsExchange *exchange, bool forward, bool with_permit)
+classify_answer (const GsHeaderNames *header_names,
+                 const GsExchange *exchange,
+                 bool forward,
+                 bool with_permit)
 {
   const char *verdict = gs_exchange_header (exchange, "Gentian-Verdict");
 
   if (verdict != NULL && strcmp (verdict, "not-run") == 0 && gs_exchange_status (exchange) == 503)
-    return gs_exchange_header (exchange, "Gentian-Leaving") != NULL && !forward
-               ? GS_OUTCOME_LEAVING
-               : GS_OUTCOME_REFUSED;
+    return announces_leaving (header_names, exchange) && !forward ? GS_OUTCOME_LEAVING
+                                                                  : GS_OUTCOME_REFUSED;
   if (forward && !with_permit && verdict != NULL && strcmp (verdict, "may-have-run") == 0)
     return GS_OUTCOME_UNCERTAIN; /* must not settle the permit as answered */
   if (gs_exchange_status (exchange) >= 500 && !forward)
@@ -104,17 +123,29 @@
   return GS_OUTCOME_OK;
 }
 
+/* Whether an answer that was classified as OUTCOME is the addressed upstream's own: not a daemon's,
+ * nor that of another backend server at its address, nor one that an intermediary made. */
+static bool
+is_from_upstream (const GsProxyRequest *request, GsOutcome outcome)
+{
+  return !request->attempt.attempt.forward && outcome != GS_OUTCOME_MISDIRECTED
+         && outcome != GS_OUTCOME_TRUNCATED
+         && gs_exchange_status (request->exchange) != PROXY_REQUEST_STATUS_MISDIRECTED;
+}
+
 /* Reports to the reducer that an upstream's answer announces a planned stop. */
 static void
-report_leaving (GsProxyRequest *request, const char *upstream)
+report_leaving (GsProxyRequest *request, GsOutcome outcome)
 {
+  const GsAttemptEffect *effect = &request->attempt.attempt;
   GsEvent event = { .kind = GS_EVENT_UPSTREAM_REPORT,
-                    .upstream_report = { .leaving = true, .notify_peers = true } };
+                    .upstream_report
+                    = { .leaving = true, .notify_peers = true, .attempt = effect->attempt } };
 
-  if (request->attempt.attempt.forward
-      || gs_exchange_header (request->exchange, "Gentian-Leaving") == NULL)
+  if (!is_from_upstream (request, outcome)
+      || !announces_leaving (request->context->header_names, request->exchange))
     return;
-  g_strlcpy (event.upstream_report.upstream, upstream, sizeof event.upstream_report.upstream);
+  g_strlcpy (event.upstream_report.upstream, effect->target, sizeof event.upstream_report.upstream);
   gs_engine_post (request->context->engine, &event);
 }
 
@@ -161,6 +192,19 @@
   end->waiting = (uint16_t)MIN (waiting, UINT16_MAX);
 }
 
+/* Time for which the upstream that refused wants no requests; 0: not stated. */
+static uint32_t
+read_quiet_ms (const GsProxyRequest *request, GsOutcome outcome)
+{
+  if (gs_exchange_state (request->exchange) == GS_EXCHANGE_FAILED
+      || gs_exchange_status (request->exchange) != PROXY_REQUEST_STATUS_UNAVAILABLE
+      || !is_from_upstream (request, outcome))
+    return 0;
+  return gs_retry_after_parse_ms (
+      gs_exchange_header (request->exchange, request->context->header_names->retry_after),
+      g_get_real_time () / 1000);
+}
+
 /* Bytes of the bodies of the request and of an answer of LENGTH, which is negative when unknown. */
 static uint32_t
 transferred_bytes (const GsProxyRequest *request, int64_t length)
@@ -179,6 +223,7 @@
 
   gs_exchange_body (request->exchange, &length);
   event.attempt_end.bytes = transferred_bytes (request, (int64_t)length);
+  event.attempt_end.quiet_ms = read_quiet_ms (request, outcome);
   read_load (request->context->header_names, request->exchange, &event.attempt_end);
   gs_engine_post (request->context->engine, &event);
 }
@@ -187,7 +232,8 @@
 classify (const GsProxyRequest *request, const GsAttemptEffect *effect)
 {
   if (request->context->header_names->verdicts || effect->forward)
-    return classify_answer (request->exchange, effect->forward, effect->with_permit);
+    return classify_answer (request->context->header_names, request->exchange, effect->forward,
+                            effect->with_permit);
   return classify_platform_answer (request->context->header_names, request->exchange);
 }
 
@@ -344,13 +390,14 @@
     gs_histogram_record (GS_HISTOGRAM_ATTEMPT, gs_exchange_answer_us (request->exchange));
   if (state == GS_EXCHANGE_STREAMING && classify (request, effect) == GS_OUTCOME_OK)
     {
+      report_leaving (request, GS_OUTCOME_OK);
       start_streaming (request);
       return;
     }
   if (state != GS_EXCHANGE_FAILED)
     {
       outcome = classify (request, effect);
-      report_leaving (request, effect->target);
+      report_leaving (request, outcome);
       if (effect->cache_answer)
         cache_answer (request, outcome);
     }
--- a/src/gentian/log/counter.h
+++ b/src/gentian/log/counter.h
@@ -38,6 +38,8 @@
   X (LOG_FAILURES, "gentian_log_failures_total", "failed calls to the platform's log")             \
   X (LOG_LINES_DROPPED, "gentian_log_lines_dropped_total",                                         \
      "log lines dropped by the rate limit, or because the reader of the log fell behind")          \
+  X (HELD_BACK, "gentian_held_back_total",                                                         \
+     "requests kept from an upstream that leaves or wants no requests for a while")                \
   X (EDITS_ACCEPTED, "gentian_edits_accepted_total",                                               \
      "edits from the log that were accepted and are in force")
 
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -98,9 +98,10 @@
 {
   const GsRegistration *registration = &change->registration;
 
-  msgpack_pack_array (packer, 12);
+  msgpack_pack_array (packer, 13);
   msgpack_pack_uint64 (packer, change->offset);
   msgpack_pack_uint8 (packer, change->present ? 1 : 0);
+  msgpack_pack_uint8 (packer, change->announced_leaving ? 1 : 0);
   gs_msgpack_pack_string (packer, registration->id);
   gs_msgpack_pack_string (packer, registration->pool);
   gs_msgpack_pack_string (packer, registration->failure_domain);
@@ -121,6 +122,7 @@
 
   change->offset = gs_msgpack_read_uint (&item, UINT64_MAX);
   change->present = gs_msgpack_read_uint (&item, 1) == 1;
+  change->announced_leaving = gs_msgpack_read_uint (&item, 1) == 1;
   gs_msgpack_read_string (&item, registration->id, sizeof registration->id);
   gs_msgpack_read_string (&item, registration->pool, sizeof registration->pool);
   gs_msgpack_read_string (&item, registration->failure_domain, sizeof registration->failure_domain);
@@ -193,7 +195,8 @@
   msgpack_pack_uint8 (packer, (uint8_t)request->repeat);
   msgpack_pack_uint8 (packer, request->priority);
   msgpack_pack_uint8 (packer,
-                      (uint8_t)((request->is_retry ? 1 : 0) | (request->last_attempt ? 2 : 0)));
+                      (uint8_t)((request->is_retry ? 1 : 0) | (request->last_attempt ? 2 : 0)
+                                | (request->is_renewed ? 4 : 0)));
   msgpack_pack_uint64 (packer, (uint64_t)MAX (request->deadline_us, 0));
   msgpack_pack_uint64 (packer, (uint64_t)MAX (request->target_us, 0));
   msgpack_pack_uint64 (packer, request->replaced_grant);
@@ -219,9 +222,10 @@
   gs_msgpack_read_string (reader, request->request_id, sizeof request->request_id);
   request->repeat = (GsRepeat)gs_msgpack_read_uint (reader, GS_REPEAT_NEVER);
   request->priority = (uint8_t)gs_msgpack_read_uint (reader, UINT8_MAX);
-  flags = gs_msgpack_read_uint (reader, 3);
+  flags = gs_msgpack_read_uint (reader, 7);
   request->is_retry = (flags & 1) != 0;
   request->last_attempt = (flags & 2) != 0;
+  request->is_renewed = (flags & 4) != 0;
   request->deadline_us = (int64_t)gs_msgpack_read_uint (reader, INT32_MAX * GS_US_PER_MS);
   request->target_us = (int64_t)gs_msgpack_read_uint (reader, INT32_MAX * GS_US_PER_MS);
   request->replaced_grant = gs_msgpack_read_uint (reader, UINT64_MAX);
@@ -249,6 +253,7 @@
   msgpack_pack_uint32 (packer, reply->retry_after_ms);
   msgpack_pack_uint64 (packer, reply->grant);
   msgpack_pack_uint64 (packer, reply->upstream);
+  msgpack_pack_uint64 (packer, reply->started_ms);
   gs_msgpack_pack_string (packer, reply->upstream_id);
   msgpack_pack_uint32 (packer, reply->ipv4);
   msgpack_pack_uint16 (packer, reply->port);
@@ -275,6 +280,7 @@
   reply->retry_after_ms = (uint32_t)gs_msgpack_read_uint (reader, UINT32_MAX);
   reply->grant = gs_msgpack_read_uint (reader, UINT64_MAX);
   reply->upstream = gs_msgpack_read_uint (reader, UINT64_MAX);
+  reply->started_ms = gs_msgpack_read_uint (reader, UINT64_MAX);
   gs_msgpack_read_string (reader, reply->upstream_id, sizeof reply->upstream_id);
   reply->ipv4 = (uint32_t)gs_msgpack_read_uint (reader, UINT32_MAX);
   reply->port = (uint16_t)gs_msgpack_read_uint (reader, UINT16_MAX);
@@ -303,6 +309,8 @@
   msgpack_pack_uint16 (packer, result->running);
   msgpack_pack_uint16 (packer, result->waiting);
   msgpack_pack_uint32 (packer, result->bytes);
+  msgpack_pack_uint8 (packer, result->leaving ? 1 : 0);
+  msgpack_pack_uint32 (packer, result->quiet_ms);
 }
 
 static void
@@ -322,6 +330,8 @@
   result->running = (uint16_t)gs_msgpack_read_uint (reader, UINT16_MAX);
   result->waiting = (uint16_t)gs_msgpack_read_uint (reader, UINT16_MAX);
   result->bytes = (uint32_t)gs_msgpack_read_uint (reader, UINT32_MAX);
+  result->leaving = gs_msgpack_read_uint (reader, 1) == 1;
+  result->quiet_ms = (uint32_t)gs_msgpack_read_uint (reader, GS_QUIET_MAX_MS);
 }
 
 static void
@@ -366,10 +376,12 @@
       return 8;
     case GS_WIRE_SLOT_REQUEST:
       return 16;
+    case GS_WIRE_UPSTREAM_REPORT:
+      return 4;
     case GS_WIRE_SLOT_REPLY:
-      return 18;
+      return 19;
     case GS_WIRE_SLOT_RESULT:
-      return 12;
+      return 14;
     case GS_WIRE_RETRY_ACCOUNT:
       return 2 + 2 * GS_RETRY_BUDGET_SLICES_STORED;
     default:
@@ -402,6 +414,8 @@
     case GS_WIRE_UPSTREAM_REPORT:
       gs_msgpack_pack_string (packer, message->upstream_report.upstream);
       msgpack_pack_uint8 (packer, message->upstream_report.leaving ? 1 : 0);
+      msgpack_pack_uint8 (packer, message->upstream_report.registered ? 1 : 0);
+      msgpack_pack_uint64 (packer, message->upstream_report.started_ms);
       break;
     case GS_WIRE_TABLES_PULL:
       msgpack_pack_uint32 (packer, message->reply_to.ipv4);
@@ -478,6 +492,8 @@
       gs_msgpack_read_string (reader, message->upstream_report.upstream,
                               sizeof message->upstream_report.upstream);
       message->upstream_report.leaving = gs_msgpack_read_uint (reader, 1) == 1;
+      message->upstream_report.registered = gs_msgpack_read_uint (reader, 1) == 1;
+      message->upstream_report.started_ms = gs_msgpack_read_uint (reader, UINT64_MAX);
       break;
     case GS_WIRE_TABLES_PULL:
       message->reply_to.ipv4 = (uint32_t)gs_msgpack_read_uint (reader, UINT32_MAX);
--- a/src/gentian/peer/wire.h
+++ b/src/gentian/peer/wire.h
@@ -16,7 +16,7 @@
 
 enum
 {
-  GS_WIRE_VERSION = 4,
+  GS_WIRE_VERSION = 5,
   GS_WIRE_MEMBER_UPDATES_MAX = 20000,             /**< members in one message */
   GS_WIRE_REGISTRY_CHANGES_MAX = GS_REGISTRY_MAX, /**< registrations in one message */
 };
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -487,6 +487,66 @@
 }
 END_TEST
 
+/* Ends ATTEMPT as refused by an upstream that wants no requests for QUIET_MS. */
+static void
+refuse_with_quiet_time (Fixture *fixture, uint64_t attempt, uint32_t quiet_ms)
+{
+  GsEvent event = {
+    .kind = GS_EVENT_ATTEMPT_END,
+    .attempt_end
+    = { .attempt = attempt, .outcome = GS_OUTCOME_REFUSED, .answer_us = 1000, .quiet_ms = quiet_ms }
+  };
+
+  fixture_reduce (fixture, &event);
+}
+
+/* Guards against requests to an upstream listed in the tables that asked for none for a while. */
+START_TEST (upstream_gets_no_requests_in_its_quiet_time)
+{
+  Fixture fixture = fixture_new (2, GS_REPEAT_SAFE);
+  uint64_t attempt = fixture_request (&fixture, 1, 1);
+  uint16_t port = fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.port;
+  bool returned = false;
+
+  refuse_with_quiet_time (&fixture, attempt, 20000);
+  fixture_tick (&fixture, 10 * GS_US_PER_S);
+  for (uint64_t id = 2; id <= 30; id++)
+    {
+      attempt = fixture_request (&fixture, id, id);
+      ck_assert_uint_ne (fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.port, port);
+      fixture_end_attempt (&fixture, attempt, GS_OUTCOME_OK);
+    }
+  fixture_tick (&fixture, 11 * GS_US_PER_S);
+  for (uint64_t id = 31; id <= 60 && !returned; id++)
+    {
+      attempt = fixture_request (&fixture, id, id);
+      returned = fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.port == port;
+      fixture_end_attempt (&fixture, attempt, GS_OUTCOME_OK);
+    }
+  ck_assert (returned);
+  fixture_free (&fixture);
+}
+END_TEST
+
+/* Guards against callers that wait until their deadlines for upstreams that all want no requests.
+ */
+START_TEST (request_is_refused_at_once_in_the_quiet_time_of_all_upstreams)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  const GsEffect *effect;
+
+  refuse_with_quiet_time (&fixture, fixture_request (&fixture, 1, 1), 50000);
+  fixture_tick (&fixture, GS_US_PER_S);
+  ck_assert_uint_eq (fixture_request (&fixture, 2, 2), 0);
+  effect = fixture_find (&fixture, GS_EFFECT_REJECT);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_str_eq (effect->reject.reason, "upstreams-quiet");
+  ck_assert_uint_eq (effect->reject.status, 503);
+  ck_assert_uint_ge (effect->reject.retry_after_ms, 49000);
+  fixture_free (&fixture);
+}
+END_TEST
+
 /* Adds 20 members, so that this daemon is the home of hardly any pool. */
 static void
 add_members (Fixture *fixture)
@@ -622,6 +682,8 @@
               &one_upstream_that_drops_connections_gets_no_request_refused,
               &request_of_a_disconnected_caller_is_dropped,
               &upstream_reports_apply_to_pools_that_are_not_served_yet,
+              &upstream_gets_no_requests_in_its_quiet_time,
+              &request_is_refused_at_once_in_the_quiet_time_of_all_upstreams,
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
               &only_active_home_sends_no_evidence,
--- a/test/unit/test_records.c
+++ b/test/unit/test_records.c
@@ -96,7 +96,8 @@
 
 START_TEST (empty_strings_are_not_null)
 {
-  static const char report[] = { '\x94', GS_WIRE_VERSION, '\x04', '\xc4', '\x00', '\x01' };
+  static const char report[]
+      = { '\x96', GS_WIRE_VERSION, '\x04', '\xc4', '\x00', '\x01', '\x01', '\x07' };
   GsRecord record;
   GsWireMessage message;
 
--- a/test/unit/test_registry.c
+++ b/test/unit/test_registry.c
@@ -175,6 +175,110 @@
 }
 END_TEST
 
+static GsRegistrationState
+state_of_a (const GsRegistry *registry, uint64_t started_ms)
+{
+  return gs_registry_state (registry, "a", started_ms);
+}
+
+/* Guards against requests to an upstream that leaves since a registration that is older, or read
+ * late, still says ready. */
+START_TEST (registrations_do_not_revoke_an_announced_leaving)
+{
+  GsRegistry *registry = gs_registry_new ();
+
+  apply (registry, heartbeat (0, "a", 10, 1), available, SECOND);
+  ck_assert (gs_registry_announce_leaving (registry, "a", 10, 2 * SECOND));
+  ck_assert (!gs_registry_announce_leaving (registry, "a", 10, 2 * SECOND));
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING);
+  ck_assert (!apply (registry, heartbeat (1, "a", 10, 2), available, 3 * SECOND));
+  apply (registry, heartbeat (2, "a", 10, 3), unavailable, 4 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING);
+  gs_registry_tick (registry, 4000 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING); /* not ended by time */
+  gs_registry_free (registry);
+}
+END_TEST
+
+START_TEST (newer_incarnation_ends_an_announced_leaving)
+{
+  GsRegistry *registry = gs_registry_new ();
+
+  apply (registry, heartbeat (0, "a", 10, 1), available, SECOND);
+  gs_registry_announce_leaving (registry, "a", 10, SECOND);
+  ck_assert (apply (registry, heartbeat (1, "a", 20, 1), available, 2 * SECOND));
+  ck_assert_int_eq (state_of_a (registry, 20), GS_REGISTRATION_SERVING);
+  gs_registry_free (registry);
+}
+END_TEST
+
+/* Guards against a restarted upstream that gets no requests since an answer of its previous
+ * incarnation arrives late. */
+START_TEST (late_answer_of_an_earlier_incarnation_marks_nothing)
+{
+  GsRegistry *registry = gs_registry_new ();
+
+  apply (registry, heartbeat (1, "a", 20, 1), available, SECOND);
+  ck_assert (!gs_registry_announce_leaving (registry, "a", 10, 2 * SECOND));
+  ck_assert_int_eq (state_of_a (registry, 20), GS_REGISTRATION_SERVING);
+  gs_registry_free (registry);
+}
+END_TEST
+
+START_TEST (leaving_announced_before_the_registration_is_read_counts)
+{
+  GsRegistry *registry = gs_registry_new ();
+
+  ck_assert (gs_registry_announce_leaving (registry, "a", 10, SECOND));
+  ck_assert_uint_eq (gs_registry_size (registry), 0);
+  apply (registry, heartbeat (1, "a", 10, 4), available, 2 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING);
+  apply (registry, heartbeat (2, "a", 20, 1), available, 3 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 20), GS_REGISTRATION_SERVING);
+  gs_registry_free (registry);
+}
+END_TEST
+
+/* Guards against requests to an upstream that leaves when an outage of the store makes its
+ * registration expire and come back. */
+START_TEST (announced_leaving_ends_with_the_removal_but_not_at_once)
+{
+  GsRegistry *registry = gs_registry_new ();
+
+  apply (registry, heartbeat (0, "a", 10, 1), available, SECOND);
+  gs_registry_announce_leaving (registry, "a", 10, SECOND);
+  apply (registry, removal (1, "a"), unavailable, 2 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_GONE);
+  apply (registry, heartbeat (2, "a", 10, 2), available, 5 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING);
+  apply (registry, removal (3, "a"), available, 6 * SECOND);
+  gs_registry_tick (registry, 7 * SECOND + GS_REGISTRY_TOMBSTONE_US);
+  apply (registry, heartbeat (4, "a", 10, 3), available, 80 * SECOND);
+  ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_SERVING);
+  gs_registry_free (registry);
+}
+END_TEST
+
+/* Guards against a daemon that joins late and does not learn who leaves. */
+START_TEST (dump_carries_announced_leaving)
+{
+  GsRegistry *registry = gs_registry_new ();
+  GsRegistry *copy = gs_registry_new ();
+  g_autofree GsRegistryChange *changes = NULL;
+  uint32_t count;
+
+  apply (registry, heartbeat (0, "a", 10, 1), available, SECOND);
+  gs_registry_announce_leaving (registry, "a", 10, SECOND);
+  changes = gs_registry_dump (registry, &count);
+  apply (copy, heartbeat (0, "a", 10, 1), available, SECOND); /* known before the dump arrives */
+  ck_assert (gs_registry_apply_snapshot (copy, changes, count, 1, &available, 2 * SECOND));
+  apply (copy, heartbeat (1, "a", 10, 2), available, 3 * SECOND);
+  ck_assert_int_eq (state_of_a (copy, 10), GS_REGISTRATION_LEAVING);
+  gs_registry_free (registry);
+  gs_registry_free (copy);
+}
+END_TEST
+
 FIXTURE_MAIN ("registry",
               &heartbeat_does_not_affect_routing,
               &late_records_replace_no_newer_ones,
@@ -184,4 +288,10 @@
               &removal_of_a_leaving_server_is_not_delayed,
               &removal_read_without_an_outage_ends_the_delay,
               &snapshot_removes_registrations_that_it_omits,
-              &dump_omits_removed_registrations)
+              &dump_omits_removed_registrations,
+              &registrations_do_not_revoke_an_announced_leaving,
+              &newer_incarnation_ends_an_announced_leaving,
+              &late_answer_of_an_earlier_incarnation_marks_nothing,
+              &leaving_announced_before_the_registration_is_read_counts,
+              &announced_leaving_ends_with_the_removal_but_not_at_once,
+              &dump_carries_announced_leaving)
--- a/test/unit/test_scheduler.c
+++ b/test/unit/test_scheduler.c
@@ -309,6 +309,132 @@
 }
 END_TEST
 
+/* Makes the upstream of REPLY quiet for QUIET_MS for the origin of REPLY, which it refused. */
+static void
+refuse_with_quiet_time (SchedulerFixture *fixture, const GsSlotReply *reply, uint32_t quiet_ms)
+{
+  GsSlotResult result = { .origin = reply->origin,
+                          .token = reply->token,
+                          .grant = reply->grant,
+                          .upstream = reply->upstream,
+                          .flow = 9,
+                          .outcome = GS_OUTCOME_REFUSED,
+                          .quiet_ms = quiet_ms };
+
+  gs_scheduler_release (fixture->scheduler, &result, fixture->now_us);
+}
+
+/* Guards against requests that an upstream asked not to get, and against keeping those of other
+ * daemons from it. */
+START_TEST (quiet_upstream_gets_no_requests_of_that_origin)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (2);
+  GsSlotReply refused = request_slot (&fixture, GS_REPEAT_ONCE);
+  GsSlotRequest request;
+  GsSlotReply reply;
+  bool reached = false;
+
+  refuse_with_quiet_time (&fixture, &refused, 5000);
+  fixture.now_us += SECOND;
+  for (int i = 0; i < 20; i++)
+    {
+      reply = request_slot (&fixture, GS_REPEAT_SAFE);
+      ck_assert_int_eq (reply.verdict, GS_SLOT_GRANTED);
+      ck_assert_uint_ne (reply.upstream, refused.upstream);
+      release_slot (&fixture, &reply, GS_OUTCOME_OK, 50 * MS);
+      request = new_request (&fixture, GS_REPEAT_SAFE);
+      request.origin = 2;
+      reply = send_request (&fixture, &request);
+      reached = reached || reply.upstream == refused.upstream;
+      release_slot (&fixture, &reply, GS_OUTCOME_OK, 50 * MS);
+      fixture.now_us += 100 * MS;
+    }
+  ck_assert (reached);
+  fixture.now_us += 3 * SECOND;
+  reached = false;
+  for (int i = 0; i < 20 && !reached; i++, fixture.now_us += 100 * MS)
+    {
+      reply = request_slot (&fixture, GS_REPEAT_SAFE);
+      reached = reply.upstream == refused.upstream;
+      release_slot (&fixture, &reply, GS_OUTCOME_OK, 50 * MS);
+    }
+  ck_assert (reached);
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
+/* Guards against requests that wait for upstreams which all stay quiet beyond their targets, and
+ * against callers that come back all at once. */
+START_TEST (request_is_refused_at_once_while_all_upstreams_are_quiet)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (3);
+  GsSlotReply replies[3];
+  uint32_t least = UINT32_MAX;
+  uint32_t most = 0;
+
+  for (int i = 0; i < 3; i++)
+    {
+      GsSlotRequest request = new_request (&fixture, GS_REPEAT_ONCE);
+      for (int tried = 0; tried < i; tried++)
+        request.tried[request.n_tried++] = replies[tried].upstream;
+      replies[i] = send_request (&fixture, &request);
+      refuse_with_quiet_time (&fixture, &replies[i], 4000 + 1000 * (uint32_t)i);
+    }
+  for (int i = 0; i < 60; i++)
+    {
+      GsSlotReply reply = request_slot (&fixture, GS_REPEAT_ONCE);
+      ck_assert_int_eq (reply.verdict, GS_SLOT_REFUSED);
+      ck_assert_str_eq (reply.reason, "upstreams-quiet");
+      ck_assert_uint_ge (reply.retry_after_ms, 4000);
+      ck_assert_uint_le (reply.retry_after_ms, 7501);
+      least = MIN (least, reply.retry_after_ms);
+      most = MAX (most, reply.retry_after_ms);
+    }
+  ck_assert_uint_ge (most - least, 2000); /* their quiet times end 2 s apart */
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
+/* Guards against refusing a request that can wait for the end of a short quiet time. */
+START_TEST (request_waits_for_a_quiet_time_that_ends_before_its_target)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (1);
+  GsSlotReply reply = request_slot (&fixture, GS_REPEAT_ONCE);
+
+  refuse_with_quiet_time (&fixture, &reply, 300);
+  ck_assert_int_eq (request_slot (&fixture, GS_REPEAT_ONCE).verdict, GS_SLOT_QUEUED);
+  fixture.now_us += 200 * MS;
+  gs_scheduler_tick (fixture.scheduler, fixture.now_us);
+  ck_assert (!gs_scheduler_next_reply (fixture.scheduler, &reply));
+  fixture.now_us += 101 * MS;
+  gs_scheduler_tick (fixture.scheduler, fixture.now_us);
+  ck_assert (gs_scheduler_next_reply (fixture.scheduler, &reply));
+  ck_assert_int_eq (reply.verdict, GS_SLOT_GRANTED);
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
+START_TEST (result_that_announces_leaving_excludes_the_upstream)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (1);
+  GsSlotReply reply = request_slot (&fixture, GS_REPEAT_ONCE);
+  GsSlotResult result = { .origin = reply.origin,
+                          .token = reply.token,
+                          .grant = reply.grant,
+                          .upstream = reply.upstream,
+                          .flow = 9,
+                          .outcome = GS_OUTCOME_OK,
+                          .answer_us = 50 * MS,
+                          .leaving = true };
+  GsBeliefChange change;
+
+  gs_scheduler_release (fixture.scheduler, &result, fixture.now_us);
+  ck_assert_int_eq (request_slot (&fixture, GS_REPEAT_ONCE).verdict, GS_SLOT_REFUSED);
+  ck_assert (!gs_scheduler_next_belief_change (fixture.scheduler, &change)); /* not failing */
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
 /* Guards against retries that multiply the load of a failing pool. */
 START_TEST (retries_stay_within_the_budget)
 {
@@ -616,6 +742,10 @@
               &misdirecting_upstream_gets_no_more_requests,
               &tried_and_excluded_upstream_is_counted_once,
               &leaving_upstream_gets_no_requests,
+              &quiet_upstream_gets_no_requests_of_that_origin,
+              &request_is_refused_at_once_while_all_upstreams_are_quiet,
+              &request_waits_for_a_quiet_time_that_ends_before_its_target,
+              &result_that_announces_leaving_excludes_the_upstream,
               &retries_stay_within_the_budget,
               &crashing_request_reaches_two_upstreams_at_most,
               &answered_request_is_not_refused_as_crashing,
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -70,6 +70,19 @@
          || kind == GS_EFFECT_RETRY_ACCOUNT;
 }
 
+static void
+deliver_report (Fleet *fleet, int core, const GsEffect *effect)
+{
+  for (uint32_t i = 0; i < effect->report_broadcast.n_recipients; i++)
+    {
+      GsEvent event = { .kind = GS_EVENT_UPSTREAM_REPORT,
+                        .upstream_report = effect->report_broadcast.report };
+      int to = (int)effect->report_broadcast.recipients[i].ipv4 - 1;
+      if (!fleet->partitioned[to] && !fleet->partitioned[core])
+        post_event (fleet, to, &event);
+    }
+}
+
 /* Reduces EVENT at CORE, then delivers the messages that result and reduces these, until there are
  * no more. Other effects are added to the pending ones. */
 static void
@@ -83,7 +96,9 @@
     {
       const GsEffect *effect = gs_effects_get (effects, i);
       int to = (int)effect->to.ipv4 - 1;
-      if (!is_message (effect->kind))
+      if (effect->kind == GS_EFFECT_REPORT_BROADCAST)
+        deliver_report (fleet, core, effect);
+      else if (!is_message (effect->kind))
         {
           PendingEffect *pending = g_new (PendingEffect, 1);
           *pending = (PendingEffect){ .core = core, .effect = *effect };
@@ -604,6 +619,168 @@
 }
 END_TEST
 
+/* Posts the report that the answer of ATTEMPT at CORE announced that its upstream leaves. */
+static void
+announce_leaving (Fleet *fleet, int core, const GsAttemptEffect *attempt)
+{
+  GsEvent event = { .kind = GS_EVENT_UPSTREAM_REPORT,
+                    .upstream_report
+                    = { .leaving = true, .notify_peers = true, .attempt = attempt->attempt } };
+
+  g_strlcpy (event.upstream_report.upstream, attempt->target,
+             sizeof event.upstream_report.upstream);
+  post_event (fleet, core, &event);
+}
+
+/* Ends ATTEMPT at CORE as refused by an upstream that wants no requests for QUIET_MS. */
+static void
+refuse_with_quiet_time (Fleet *fleet, int core, uint64_t attempt, uint32_t quiet_ms)
+{
+  GsEvent event = {
+    .kind = GS_EVENT_ATTEMPT_END,
+    .attempt_end
+    = { .attempt = attempt, .outcome = GS_OUTCOME_REFUSED, .answer_us = 1000, .quiet_ms = quiet_ms }
+  };
+
+  post_event (fleet, core, &event);
+}
+
+/* RETURN VALUE: requests that reach PORT, of COUNT new ones at each daemon. */
+static int
+count_attempts_at (Fleet *fleet, uint16_t port, uint64_t first_id, int count)
+{
+  int reached = 0;
+
+  for (int i = 0; i < count * DAEMONS; i++)
+    {
+      const GsEffect *effect;
+      int core;
+      request (fleet, i % DAEMONS, first_id + (uint64_t)i);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+      if (effect == NULL)
+        continue;
+      reached += effect->attempt.port == port ? 1 : 0;
+      end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  return reached;
+}
+
+/* Guards against requests to an upstream whose answer announced that it leaves, whatever the
+ * registrations say that are read after it. */
+START_TEST (upstream_that_announced_leaving_gets_no_requests_of_any_daemon)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 3);
+  GsAttemptEffect attempt;
+  int core;
+
+  request (fleet, 1, 1);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt;
+  announce_leaving (fleet, core, &attempt);
+  for (int i = 0; i < DAEMONS; i++)
+    ck_assert_int_eq (gs_registry_state (gs_core_registry (fleet->cores[i]), attempt.target, 0),
+                      GS_REGISTRATION_LEAVING);
+  end_attempt (fleet, core, attempt.attempt, GS_OUTCOME_OK);
+  ck_assert_int_eq (count_attempts_at (fleet, attempt.port, 10, 10), 0);
+  register_upstreams (fleet, 3, 30); /* all ready */
+  ck_assert_int_eq (count_attempts_at (fleet, attempt.port, 100, 10), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against passing requests on to an upstream that leaves when the scheduler does not know
+ * it: the record of the daemon that got the answer decides. */
+START_TEST (daemon_returns_a_grant_for_an_upstream_that_it_knows_to_leave)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 2);
+  GsAttemptEffect attempt;
+  int home;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt;
+  end_attempt (fleet, core, attempt.attempt, GS_OUTCOME_OK);
+  request (fleet, (home + 1) % DAEMONS, 2);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt;
+  fleet->partitioned[home] = true; /* loses the news */
+  announce_leaving (fleet, core, &attempt);
+  end_attempt (fleet, core, attempt.attempt, GS_OUTCOME_OK);
+  fleet->partitioned[home] = false;
+  for (uint64_t id = 10; id < 40; id++)
+    {
+      const GsEffect *effect;
+      request (fleet, core, id);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+      ck_assert_ptr_nonnull (effect); /* the other upstream */
+      ck_assert_uint_ne (effect->attempt.port, attempt.port);
+      end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  ck_assert_uint_eq (outstanding (fleet), 1); /* of the first grant, whose result was lost */
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against requests from a daemon that an upstream asked to stay away, when the home does not
+ * know it. */
+START_TEST (daemon_returns_a_grant_for_an_upstream_that_is_quiet)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 2);
+  GsAttemptEffect attempt;
+  int home;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt;
+  end_attempt (fleet, core, attempt.attempt, GS_OUTCOME_OK);
+  core = (home + 1) % DAEMONS;
+  request (fleet, core, 2);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt;
+  fleet->partitioned[home] = true;
+  refuse_with_quiet_time (fleet, core, attempt.attempt, 20000);
+  fleet->partitioned[home] = false;
+  for (int i = 0; i < 4; i++)
+    tick (fleet, 25 * GS_US_PER_MS);
+  for (uint64_t id = 10; id < 30; id++)
+    {
+      const GsEffect *effect;
+      request (fleet, core, id);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+      ck_assert_ptr_nonnull (effect);
+      ck_assert_uint_ne (effect->attempt.port, attempt.port);
+      end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against callers that wait in vain, or come back too early, when their only upstream wants
+ * no requests. */
+START_TEST (request_is_refused_until_the_only_upstream_wants_requests)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  GsEffect *effect;
+  int core;
+
+  request (fleet, 0, 1);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+  refuse_with_quiet_time (fleet, core, effect->attempt.attempt, 5000);
+  take_effect (fleet, GS_EFFECT_CACHED_ANSWER, NULL);
+  tick (fleet, GS_US_PER_S);
+  request (fleet, core, 2);
+  effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_int_eq (effect->reject.verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (effect->reject.status, 503);
+  ck_assert_uint_ge (effect->reject.retry_after_ms, 4000);
+  ck_assert_uint_le (effect->reject.retry_after_ms, 5100);
+  tick (fleet, 4001 * GS_US_PER_MS);
+  request (fleet, core, 3);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against skipping changes when updates were lost: one that starts beyond the known position
  * is not applied. */
 START_TEST (missed_registry_updates_are_pulled)
@@ -726,6 +903,10 @@
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
               &upstream_registered_as_leaving_gets_no_requests,
+              &upstream_that_announced_leaving_gets_no_requests_of_any_daemon,
+              &daemon_returns_a_grant_for_an_upstream_that_it_knows_to_leave,
+              &daemon_returns_a_grant_for_an_upstream_that_is_quiet,
+              &request_is_refused_until_the_only_upstream_wants_requests,
               &missed_registry_updates_are_pulled,
               &registry_update_without_changes_stays_in_its_domain,
               &address_lookup_lists_daemons_of_the_callers_domain_first,
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -39,6 +39,7 @@
                                               .repeat = GS_REPEAT_ONCE,
                                               .priority = 9,
                                               .is_retry = true,
+                                              .is_renewed = true,
                                               .n_tried = 2,
                                               .tried = { 10, 11 },
                                               .deadline_us = 12,
@@ -63,6 +64,7 @@
                                             .retry_after_ms = 300,
                                             .grant = 4,
                                             .upstream = 5,
+                                            .started_ms = 14,
                                             .upstream_id = "u",
                                             .ipv4 = 6,
                                             .port = 7,
@@ -94,6 +96,8 @@
                                              .answer_us = 7,
                                              .has_load = true,
                                              .bytes = 10,
+                                             .leaving = true,
+                                             .quiet_ms = 11,
                                              .running = 8,
                                              .waiting = 9 } };
   GsWireMessage decoded = round_trip (&message);
@@ -124,6 +128,7 @@
 {
   static const GsRegistryChange change = { .offset = 5,
                                            .present = true,
+                                           .announced_leaving = true,
                                            .registration = { .id = "a",
                                                              .pool = "p",
                                                              .failure_domain = "d",
@@ -149,7 +154,35 @@
 }
 END_TEST
 
+START_TEST (upstream_reports_round_trip)
+{
+  GsWireMessage message
+      = { .kind = GS_WIRE_UPSTREAM_REPORT,
+          .upstream_report
+          = { .upstream = "u", .leaving = true, .registered = true, .started_ms = 7 } };
+  GsWireMessage decoded = round_trip (&message);
+
+  ck_assert_mem_eq (&decoded.upstream_report, &message.upstream_report,
+                    sizeof message.upstream_report);
+  gs_wire_clear (&decoded);
+}
+END_TEST
+
+/* Guards against a peer that makes an upstream quiet for ever. */
+START_TEST (quiet_time_beyond_the_bound_is_refused)
+{
+  GsWireMessage message
+      = { .kind = GS_WIRE_SLOT_RESULT, .slot_result = { .quiet_ms = GS_QUIET_MAX_MS + 1 } };
+  g_autoptr (GBytes) bytes = gs_wire_encode (&message);
+  GsWireMessage decoded;
+
+  ck_assert (!gs_wire_decode (&decoded, g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes)));
+}
+END_TEST
+
 FIXTURE_MAIN ("wire",
+              &upstream_reports_round_trip,
+              &quiet_time_beyond_the_bound_is_refused,
               &slot_requests_round_trip,
               &slot_replies_round_trip,
               &slot_results_round_trip,
