Hold requests back from an upstream that left, removed or not

Callers saw: a request could reach an upstream that had announced leaving, from the daemon that got the announcement, when that daemon had read the removal of its registration and the pool's scheduler had not.

Cause: the check before an attempt asked for the registry's state, which is "gone" after a removal and hides the announcement.

Change: gs_registry_is_leaving answers for the announcement as well.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -249,7 +249,6 @@
 /* Handles a report that an upstream leaves. RETURN VALUE: false if the upstream is one of the
  * tables, whose pools keep its state. */
 bool notice_leaving (GsCore *core, const GsUpstreamReport *report);
-bool notice_is_leaving (const GsCore *core, const char *upstream, uint64_t started_ms);
 /* Records that the upstream of ATTEMPT wants no requests from here for QUIET_MS; 0: not stated. */
 void notice_quiet (GsCore *core, const Attempt *attempt, uint32_t quiet_ms);
 /* RETURN VALUE: time until the upstream with key UPSTREAM wants requests again. */
--- a/src/gentian/core/notice.c
+++ b/src/gentian/core/notice.c
@@ -25,18 +25,12 @@
     }
 }
 
-bool
-notice_is_leaving (const GsCore *core, const char *upstream, uint64_t started_ms)
-{
-  return gs_registry_state (core->registry, upstream, started_ms) == GS_REGISTRATION_LEAVING;
-}
-
 /* Applies the report that a self-registered upstream leaves. The other daemons are told unless
  * its registration, which they read as well, says so already. */
 static void
 learn_leaving (GsCore *core, const GsUpstreamReport *report)
 {
-  bool was_leaving = notice_is_leaving (core, report->upstream, report->started_ms);
+  bool was_leaving = gs_registry_is_leaving (core->registry, report->upstream, report->started_ms);
   GsUpstreamReport news = *report;
 
   if (!gs_registry_announce_leaving (core->registry, report->upstream, report->started_ms,
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -369,7 +369,7 @@
 {
   GsSlotResult result = make_unused_result (core, reply);
 
-  result.leaving = notice_is_leaving (core, reply->upstream_id, reply->started_ms);
+  result.leaving = gs_registry_is_leaving (core->registry, reply->upstream_id, reply->started_ms);
   result.quiet_ms = (uint32_t)((quiet_us + GS_US_PER_MS - 1) / GS_US_PER_MS);
   if (!is_local (from))
     {
@@ -426,7 +426,7 @@
 static bool
 hold_back (GsCore *core, Request *request, const GsSlotReply *reply, const GsPeerAddress *from)
 {
-  bool leaving = notice_is_leaving (core, reply->upstream_id, reply->started_ms);
+  bool leaving = gs_registry_is_leaving (core->registry, reply->upstream_id, reply->started_ms);
   int64_t quiet_us = notice_quiet_left_us (core, reply->upstream);
   const char *reason = leaving ? "upstream-leaving" : "upstreams-quiet";
 
@@ -627,7 +627,8 @@
                          .upstream = attempt->upstream,
                          .flow = flow,
                          .outcome = event->outcome,
-                         .leaving = notice_is_leaving (core, attempt->target, attempt->started_ms),
+                         .leaving = gs_registry_is_leaving (core->registry, attempt->target,
+                                                            attempt->started_ms),
                          .quiet_ms = MIN (event->quiet_ms, GS_QUIET_MAX_MS),
                          .answer_us = core->now_us - attempt->started_us,
                          .bytes = event->bytes,
--- a/test/unit/test_registry.c
+++ b/test/unit/test_registry.c
@@ -249,6 +249,7 @@
   gs_registry_announce_leaving (registry, "a", 10, SECOND);
   apply (registry, removal (1, "a"), unavailable, 2 * SECOND);
   ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_GONE);
+  ck_assert (gs_registry_is_leaving (registry, "a", 10));
   apply (registry, heartbeat (2, "a", 10, 2), available, 5 * SECOND);
   ck_assert_int_eq (state_of_a (registry, 10), GS_REGISTRATION_LEAVING);
   apply (registry, removal (3, "a"), available, 6 * SECOND);
