Play announced leaving and Retry-After on real processes

Evidence: the stand-in was tried by hand; its answers have both headers. The functional test was written but not run yet.

--- a/test/functional/test_native.sh
+++ b/test/functional/test_native.sh
@@ -116,3 +116,62 @@
 check "and have the newest tables" all_serve /n/1
 check "metrics are served" test -n "$(native_metric 1 gentian_requests_total)"
 check "and durations of requests, attempts and calls to the store" test "$(native_metric 1 gentian_request_seconds_count)" -ge 1 -a "$(native_metric 1 gentian_attempt_seconds_count)" -ge 1 -a "$(native_metric 1 gentian_store_call_seconds_count)" -ge 1
+
+# Upstreams that announce in their answers that they leave, while their registrations say ready. The
+# daemon that gets such an answer tells the others.
+# passes_on_leaving UPSTREAM: requests until an answer says that the upstream leaves
+passes_on_leaving () {
+  local i
+  for i in $(seq 60); do native_request $((i % N + 1)) "l$RANDOM$i" /o/1 >/dev/null; grep -qi "^Server-Leaving: 1" "$DIR/head" && return 0; done
+  return 1
+}
+all_learned () { local i; for ((i = 1; i <= N; i++)); do grep -q "GS3109 - upstream-leaving-learned .*upstream=$1 " "$DIR/inst-$i.log" || return 1; done; }
+# none_reach UPSTREAM PATH REQUESTS: prints how many of them reach it
+none_reach () {
+  local before i; before=$(upstream_received "$1")
+  for i in $(seq "$3"); do native_request $((i % N + 1)) "n$RANDOM$i" "$2" >/dev/null; done
+  echo $(($(upstream_received "$1") - before))
+}
+start_upstream 7 orders; start_upstream 8 orders
+reached_7 () { served 1 /o/1; [ "$(upstream_received 7)" -gt 0 ]; }
+reached_8 () { served 1 /o/1; [ "$(upstream_received 8)" -gt 0 ]; }
+wait_for 10 reached_7; wait_for 10 reached_8
+upstream_control 7 leaving=1
+check "an answer that announces leaving is passed on" passes_on_leaving
+check "all daemons learn of it" wait_for 2 all_learned orders-7
+equal "requests that reach a server after it announced leaving" "$(none_reach 7 /o/1 40)" 0
+sleep 1.2
+equal "and after its next registrations, which say ready" "$(none_reach 7 /o/1 20)" 0
+store_control away=1
+upstream_control 8 leaving=1
+check "an answer that announces leaving is passed on during an outage of the store" passes_on_leaving
+check "all daemons learn of it although the store is away" wait_for 2 all_learned orders-8
+equal "requests that reach the server meanwhile" "$(none_reach 8 /o/1 40)" 0
+store_control away=0
+sleep 1.5
+equal "and after the outage, with registrations that say ready" "$(none_reach 8 /o/1 20)" 0
+kill -KILL "$(pid_of orders-8)"; wait "$(pid_of orders-8)" 2>/dev/null
+start_upstream 8 orders
+check "its next process gets requests" wait_for 15 reached_8
+
+# Upstreams that refuse with Retry-After: each daemon stays away after the first refusal.
+start_upstream 9 stock
+reached_9 () { served 1 /s/1; [ "$(upstream_received 9)" -gt 0 ]; }
+for i in 3 4 5; do upstream_control $i unstamped=0; done
+wait_for 10 reached_9
+upstream_control 9 "shed=100&retry_after=40"
+at_most "requests that reach a server that refuses with Retry-After, from $N daemons" "$(none_reach 9 /s/1 60)" $N
+check "the quiet time is logged" grep -q "GS3110 - upstream-quiet .*upstream=stock-9 .*quiet_ms=40000" "$DIR"/inst-*.log
+store_control away=1
+for i in 3 4 5; do upstream_control $i "shed=100&retry_after=20.5"; done
+for i in $(seq 80); do native_request $((i % N + 1)) "q$i" /s/1 >/dev/null; done
+reached=0; for i in 3 4 5 9; do reached=$((reached + $(upstream_received $i))); done
+began=$(date +%s%3N); status=$(native_request 1 quiet1 /s/1); took=$(($(date +%s%3N) - began))
+equal "a request is refused while all servers are quiet" "$status" 503
+at_most "time until it is refused, in ms" "$took" 500
+check "it is told to return when they do" test "$(awk 'tolower($1) == "retry-after:" { print int($2) }' "$DIR/head")" -ge 5
+for i in $(seq 40); do native_request $((i % N + 1)) "r$i" /s/1 >/dev/null; done
+after=0; for i in 3 4 5 9; do after=$((after + $(upstream_received $i))); done
+equal "requests that reach quiet servers, with the store away" $((after - reached)) 0
+check "requests held back are counted" test "$(native_metric 1 gentian_held_back_total)" -ge 1
+store_control away=0
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -4,11 +4,14 @@
  *
  *   upstream PORT ID SERVICE ZONE STORE_PORT [WORK_MS]
  *
- * GET /count returns the number of executed requests. GET /control sets faults by query parameters:
+ * GET /count returns the number of executed requests, GET /received that of all requests that
+ * reached it. GET /control sets faults by query parameters:
  *   state=ready|draining|silent   state that it registers; silent stops the registrations
  *   fail=PERCENT                  share of requests that get status 500
  *   shed=PERCENT                  share of requests refused with 503 and not executed
  *   unstamped=PERCENT             share of responses without Gentianscale-Response-Stamp
+ *   leaving=0|1                   all answers have Server-Leaving, whatever it registers
+ *   retry_after=TEXT              value of Retry-After in its refusals with 503; empty: none
  *   id=ID                         id that it uses in registrations and responses
  */
 #include <curl/curl.h>
@@ -36,6 +39,9 @@
   int fail;
   int shed;
   int unstamped;
+  int leaving;
+  char retry_after[64];
+  gint received;
   gint executed;
   gint running;
   uint64_t started_ms;
@@ -109,8 +115,10 @@
 }
 
 static int
-refuse (struct _u_response *response, unsigned int status)
+refuse (const Upstream *upstream, struct _u_response *response, unsigned int status)
 {
+  if (status == 503 && upstream->retry_after[0] != '\0')
+    u_map_put (response->map_header, "Retry-After", upstream->retry_after);
   u_map_put (response->map_header, "Gentianscale-Not-Executed", "1");
   ulfius_set_empty_body_response (response, status);
   return U_CALLBACK_COMPLETE;
@@ -125,12 +133,15 @@
   g_autofree char *load = NULL;
   g_autofree char *body = NULL;
 
+  g_atomic_int_inc (&upstream->received);
+  if (upstream->leaving != 0)
+    u_map_put (response->map_header, "Server-Leaving", "1");
   if (expected != NULL && strcmp (expected, upstream->id) != 0)
-    return refuse (response, 421);
+    return refuse (upstream, response, 421);
   if (id == NULL)
-    return refuse (response, 400);
+    return refuse (upstream, response, 400);
   if (random_percent (upstream->shed))
-    return refuse (response, 503);
+    return refuse (upstream, response, 503);
   g_atomic_int_inc (&upstream->executed);
   g_atomic_int_inc (&upstream->running);
   g_usleep ((gulong)upstream->work_ms * 1000);
@@ -160,7 +171,10 @@
   Upstream *upstream = data;
   const char *state = u_map_get (request->map_url, "state");
   const char *id = u_map_get (request->map_url, "id");
+  const char *retry_after = u_map_get (request->map_url, "retry_after");
 
+  if (retry_after != NULL)
+    g_strlcpy (upstream->retry_after, retry_after, sizeof upstream->retry_after);
   if (state != NULL)
     g_strlcpy (upstream->state, state, sizeof upstream->state);
   if (id != NULL)
@@ -168,6 +182,7 @@
   set_number (request, "fail", &upstream->fail);
   set_number (request, "shed", &upstream->shed);
   set_number (request, "unstamped", &upstream->unstamped);
+  set_number (request, "leaving", &upstream->leaving);
   ulfius_set_string_body_response (response, 200, "ok\n");
   return U_CALLBACK_COMPLETE;
 }
@@ -183,6 +198,17 @@
   return U_CALLBACK_COMPLETE;
 }
 
+static int
+get_received (const struct _u_request *request, struct _u_response *response, void *data)
+{
+  Upstream *upstream = data;
+  g_autofree char *text = g_strdup_printf ("%d\n", g_atomic_int_get (&upstream->received));
+
+  (void)request;
+  ulfius_set_string_body_response (response, 200, text);
+  return U_CALLBACK_COMPLETE;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -205,6 +231,7 @@
   ulfius_init_instance (&server, upstream.port, NULL, NULL);
   ulfius_add_endpoint_by_val (&server, "GET", "/control", NULL, 0, set_faults, &upstream);
   ulfius_add_endpoint_by_val (&server, "GET", "/count", NULL, 0, get_executed, &upstream);
+  ulfius_add_endpoint_by_val (&server, "GET", "/received", NULL, 0, get_received, &upstream);
   ulfius_set_default_endpoint (&server, serve_request, &upstream);
   if (ulfius_start_framework (&server) != U_OK)
     return 1;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -100,6 +100,7 @@
 # start_upstream NUMBER SERVICE [WORK_MS]
 start_upstream () { "$BIN/standin/upstream" $((PORTS + 100 + $1)) "$2-$1" "$2" "d$(($1 % 3))" "$STORE" "${3:-20}" 2>>"$DIR/upstream.log" & record_pid "$2-$1" $!; }
 upstream_control () { curl -s --noproxy '*' -m 2 "http://127.0.0.1:$((PORTS + 100 + $1))/control?$2" >/dev/null; }
+upstream_received () { curl -s --noproxy '*' -m 2 "http://127.0.0.1:$((PORTS + 100 + $1))/received"; }
 upstream_count () { curl -s --noproxy '*' -m 2 "http://127.0.0.1:$((PORTS + 100 + $1))/count"; }
 # put_record TOPIC KEY FILE: appends one keyed record, its value is the file
 put_record () {
