Show in the lab that a quiet pool recovers

Question: when all servers of a pool refuse with Retry-After for a while, is their capacity used again when the times end, or do callers and daemons come back as a herd, or too late?

--- a/test/lab/lab.c
+++ b/test/lab/lab.c
@@ -93,6 +93,7 @@
   GsOutcome outcome;
   uint32_t reported_running; /* load that its answer reports; includes the attempt itself */
   uint32_t reported_waiting;
+  uint32_t quiet_ms; /* Retry-After of the refusal */
   bool running;
   bool queued;
   bool ended;    /* the daemon has its outcome, or it is on the way there */
@@ -126,10 +127,19 @@
   bool dead;
 } Daemon;
 
+/* The last Retry-After of an upstream to one daemon. */
+typedef struct
+{
+  int64_t refused_us;
+  int64_t until_us;
+  uint32_t reached; /* requests of the daemon after half a second */
+} QuietTime;
+
 typedef struct
 {
   uint32_t running;
-  GQueue queue; /* of Attempt * */
+  QuietTime *quiet_times; /* by daemon */
+  GQueue queue;           /* of Attempt * */
   uint64_t sequence;
   bool flaky;
   int64_t phase_end_us;
@@ -448,6 +458,7 @@
   else
     result->failed++;
   result->wait_us += MAX (latency_us - call->service_us, 0);
+  lab->result.served_in_s[MIN ((uint32_t)MAX (seconds (lab), 0), LAB_SECONDS_MAX - 1)]++;
 }
 
 /* Schedules another try of a caller whose try failed, or ends the request if none is allowed. */
@@ -867,6 +878,33 @@
   return true;
 }
 
+static void
+count_in_quiet_time (Lab *lab, QuietTime *quiet_time)
+{
+  if (lab->now_us <= quiet_time->refused_us + GS_US_PER_S / 2 || lab->now_us > quiet_time->until_us)
+    return;
+  quiet_time->reached++;
+  lab->result.quiet_reached_max = MAX (lab->result.quiet_reached_max, quiet_time->reached);
+}
+
+/* Whether the upstream refuses the attempt with Retry-After. */
+static bool
+refuses_with_quiet_time (Lab *lab, Attempt *attempt)
+{
+  const LabFault *fault = fault_at (lab, attempt->pool, attempt->upstream, LAB_FAULT_QUIET);
+  QuietTime *quiet_time
+      = &lab->upstreams[attempt->pool][attempt->upstream].quiet_times[attempt->daemon];
+
+  count_in_quiet_time (lab, quiet_time);
+  if (fault == NULL)
+    return false;
+  attempt->quiet_ms = (uint32_t)(fault->magnitude * 1000);
+  *quiet_time = (QuietTime){ .refused_us = lab->now_us,
+                             .until_us = lab->now_us + attempt->quiet_ms * GS_US_PER_MS };
+  end_attempt (lab, attempt, GS_OUTCOME_REFUSED);
+  return true;
+}
+
 static void
 reach_upstream (Lab *lab, Attempt *attempt)
 {
@@ -884,7 +922,7 @@
       return;
     }
   count_attempt (lab, attempt);
-  if (fails_on_arrival (lab, attempt))
+  if (refuses_with_quiet_time (lab, attempt) || fails_on_arrival (lab, attempt))
     return;
   if (upstream->running < pool->slots)
     {
@@ -945,6 +983,7 @@
   GsEvent event = { .kind = GS_EVENT_ATTEMPT_END,
                     .attempt_end = { .attempt = attempt->id,
                                      .outcome = attempt->outcome,
+                                     .quiet_ms = attempt->quiet_ms,
                                      .answer_us = lab->now_us - attempt->sent_us } };
 
   if (lab->daemons[attempt->daemon].dead)
@@ -1121,6 +1160,7 @@
         {
           Upstream *upstream = &lab->upstreams[pool][i];
           upstream->registered = true;
+          upstream->quiet_times = g_new0 (QuietTime, options->n_daemons);
           upstream->phase_random.state = gs_mix64 (options->seed * 7919 + pool * 1000 + i);
           upstream->phase_end_us
               = lab->now_us
@@ -1161,7 +1201,10 @@
   for (uint32_t pool = 0; pool < lab->options->n_pools; pool++)
     {
       for (uint32_t i = 0; i < lab->options->pools[pool].n_upstreams; i++)
-        g_queue_clear (&lab->upstreams[pool][i].queue);
+        {
+          g_queue_clear (&lab->upstreams[pool][i].queue);
+          g_free (lab->upstreams[pool][i].quiet_times);
+        }
       g_free (lab->upstreams[pool]);
     }
   g_free (lab->daemons);
--- a/test/lab/lab.h
+++ b/test/lab/lab.h
@@ -28,6 +28,7 @@
   LAB_CLASSES_MAX = 8,
   LAB_FAULTS_MAX = 32,
   LAB_DOMAINS = 3,
+  LAB_SECONDS_MAX = 64, /**< seconds for which results are kept one by one */
 };
 
 /** Backend servers of one pool. An upstream alternates between normal and flaky phases at random.
@@ -79,6 +80,7 @@
   LAB_FAULT_BURST,        /**< arrival rates are multiplied by `magnitude`; `pool` and `first` are
                                ignored */
   LAB_FAULT_LATE_START,   /**< `first` is a daemon: it starts only at `from_s` */
+  LAB_FAULT_QUIET,        /**< refuses all requests, with a Retry-After of `magnitude` seconds */
   LAB_FAULT_MESSAGE_LOSS, /**< share `magnitude` of the pairs of daemons lose their slot messages */
 } LabFaultKind;
 
@@ -136,6 +138,9 @@
   uint32_t retries_in_window_max;               /**< most retries in ten seconds of one pool */
   int32_t retries_over_budget; /**< most retries beyond the budget in ten seconds of one pool;
                                     below 0: all are within it */
+  uint32_t served_in_s[LAB_SECONDS_MAX]; /**< requests served in each second */
+  uint32_t quiet_reached_max; /**< most requests that reached an upstream from one daemon between
+                                   half a second after its Retry-After and the end of that time */
   uint32_t events;
   double cpu_us_per_request;         /**< processor time of the reducers */
   uint32_t attempts_per_request_max; /**< of one request at a daemon */
--- a/test/unit/test_load.c
+++ b/test/unit/test_load.c
@@ -107,6 +107,9 @@
       sum.faulted += run.faulted;
       sum.underused_spans += run.underused_spans;
       sum.min_used_share = MIN (sum.min_used_share, run.min_used_share);
+      for (int second = 0; second < LAB_SECONDS_MAX; second++)
+        sum.served_in_s[second] += run.served_in_s[second];
+      sum.quiet_reached_max = MAX (sum.quiet_reached_max, run.quiet_reached_max);
       sum.retries += run.retries;
       sum.retries_in_window_max = MAX (sum.retries_in_window_max, run.retries_in_window_max);
       for (uint32_t i = 0; i < options->n_faults; i++)
@@ -478,6 +481,59 @@
 }
 END_TEST
 
+/* Fails unless orders at LOAD, after all servers refused with a Retry-After of 5 s from 8 to 11 s,
+ * are served from 16 s on at 0.9 of the rate that the servers allow; and if an upstream gets more
+ * than the two requests in such a time that the users allow. */
+static void
+check_recovery (const LabResult *result, double load, uint32_t runs)
+{
+  double possible_per_s = ORDERS_PER_S_MAX * MIN (load, 1);
+  uint32_t served = 0;
+
+  for (int second = 16; second < 20; second++)
+    served += result->served_in_s[second];
+  ck_assert_uint_le (result->quiet_reached_max, 2);
+  ck_assert_double_ge (served, 0.9 * 4 * possible_per_s * runs);
+}
+
+static LabOptions
+quiet_pool_options (double load)
+{
+  LabOptions options = order_options (load);
+  LabFault fault = make_fault (LAB_FAULT_QUIET, UPSTREAMS, 8, 11, 5);
+
+  lab_add_fault (&options, &fault);
+  return options;
+}
+
+/* Guards against a herd, or idle servers, when a pool's quiet times end. */
+START_TEST (throughput_recovers_after_the_quiet_times_of_a_pool)
+{
+  static const double loads[] = { 0.9, 1.2 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      LabOptions options = quiet_pool_options (loads[i]);
+      LabResult result = run_seeds ("quiet pool", &options);
+      check_recovery (&result, loads[i], SEEDS);
+    }
+}
+END_TEST
+
+/* The same for a crowd of daemons, each of which gets few requests and has quiet times of its own.
+ */
+START_TEST (throughput_of_300_daemons_recovers_after_quiet_times)
+{
+  LabOptions options = quiet_pool_options (1.2);
+  LabResult result;
+
+  options.n_daemons = 300;
+  options.seed = 1;
+  result = lab_run (&options);
+  check_recovery (&result, 1.2, 1);
+}
+END_TEST
+
 FIXTURE_MAIN ("load",
               &steady_load_rarely_meets_a_full_server,
               &fleet_serves_as_well_as_a_single_daemon,
@@ -499,4 +555,6 @@
               &repeatable_requests_survive_hanging_servers,
               &lost_daemons_cost_only_requests_in_flight,
               &callers_of_one_daemon_per_domain_are_served_as_well,
-              &urgent_requests_are_served_and_others_not_starved)
+              &urgent_requests_are_served_and_others_not_starved,
+              &throughput_recovers_after_the_quiet_times_of_a_pool,
+              &throughput_of_300_daemons_recovers_after_quiet_times)
