Count a retry once when its grant was returned

Change: the slot request that replaces a returned grant spends no budget; the mark ends with the next attempt. The queue of a pool of the tables is checked for quiet times like an arriving request.

--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -94,9 +94,9 @@
   uint64_t scheduler_hash;        /* of the id of the scheduler's daemon; 0: this daemon */
   int64_t slot_reply_due_us;      /* when the reply is overdue */
   int64_t slot_request_resend_us; /* time of resending if unanswered; 0: not again */
-  bool slot_renewed;              /* a grant was returned since an upstream leaves or is quiet */
-  int64_t quiet_until_us;         /* earliest return of an upstream that it was kept from */
-  bool slot_request_queued;       /* the scheduler replied that no slot is free yet */
+  bool slot_renewed;        /* its last grant was returned, as the upstream leaves or is quiet */
+  int64_t quiet_until_us;   /* earliest return of an upstream that it was kept from */
+  bool slot_request_queued; /* the scheduler replied that no slot is free yet */
   uint64_t silent_schedulers[CORE_SILENT_SCHEDULERS_MAX];
   uint8_t n_silent_schedulers;
 } Request;
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -238,6 +238,21 @@
   return (int64_t)ahead * gs_pool_latency_us (state->pool) / MAX (limit, 1);
 }
 
+/* Rejects the request if all upstreams in rotation want no requests until its deadline. */
+static bool
+refuse_if_all_quiet (GsCore *core, Request *request)
+{
+  const GsPool *pool = request->pool->pool;
+  int64_t quiet_us = gs_pool_quiet_left_us (pool, core->now_us);
+
+  if (quiet_us == 0 || core->now_us + quiet_us + gs_pool_latency_us (pool) <= request->deadline_us)
+    return false;
+  core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
+  request->retry_after_ms = notice_retry_after_ms (core, quiet_us);
+  request_fail (core, request, STATUS_UNAVAILABLE, "upstreams-quiet");
+  return true;
+}
+
 static void
 enqueue (GsCore *core, Request *request)
 {
@@ -247,17 +262,10 @@
                               .flow = request->flow,
                               .deadline_us = request->deadline_us,
                               .weight = request->weight };
-  int64_t quiet_us = gs_pool_quiet_left_us (state->pool, core->now_us);
   uint64_t evicted;
 
-  if (quiet_us > 0
-      && core->now_us + quiet_us + gs_pool_latency_us (state->pool) > request->deadline_us)
-    {
-      core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
-      request->retry_after_ms = notice_retry_after_ms (core, quiet_us);
-      request_fail (core, request, STATUS_UNAVAILABLE, "upstreams-quiet");
-      return;
-    }
+  if (refuse_if_all_quiet (core, request))
+    return;
   if (gs_pool_in_rotation (state->pool) <= request->n_tried)
     {
       request_fail (core, request, STATUS_UNAVAILABLE, "no-other-upstream");
@@ -320,7 +328,7 @@
       request->phase = REQUEST_NEW;
       if (request->deadline_us <= core->now_us)
         request_fail (core, request, STATUS_UNAVAILABLE, "deadline-passed-in-queue");
-      else if (!start_upstream_attempt (core, request))
+      else if (!refuse_if_all_quiet (core, request) && !start_upstream_attempt (core, request))
         {
           request->phase = REQUEST_QUEUED;
           gs_queue_push_front (state->queue, &waiting);
--- a/src/gentian/core/scheduler.c
+++ b/src/gentian/core/scheduler.c
@@ -644,7 +644,8 @@
     return "crashes-upstreams";
   if (request->replaced_grant != 0 && !is_stuck (scheduler, request->replaced_grant, now_us))
     return "attempt-may-finish";
-  if (request->is_retry && !gs_retry_budget_spend (scheduler->retry_budget, now_us))
+  if (request->is_retry && !request->is_renewed
+      && !gs_retry_budget_spend (scheduler->retry_budget, now_us))
     {
       scheduler->budget_reached = true;
       return "repeat-budget";
--- a/src/gentian/core/scheduler.h
+++ b/src/gentian/core/scheduler.h
@@ -59,7 +59,7 @@
   uint8_t priority;        /**< 0 is the most urgent */
   bool is_retry;           /**< the request has reached an upstream before */
   bool last_attempt;       /**< the request may not be sent anywhere after this */
-  bool is_renewed;         /**< an earlier grant of the request was returned unused */
+  bool is_renewed;         /**< in place of a grant that was returned unused, and counted then */
   uint64_t replaced_grant; /**< of the late attempt that a new one ends; 0: none */
   uint8_t n_tried;
   uint64_t tried[GS_SLOT_TRIED_MAX]; /**< keys of upstreams to avoid */
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -466,6 +466,7 @@
       request->reached_upstream = true;
     }
   request->holds_answer = false;
+  request->slot_renewed = false;
   attempt = request_start_attempt (core, request, reply->upstream, reply->upstream_id);
   attempt->grant = reply->grant;
   attempt->started_ms = reply->started_ms;
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -547,6 +547,25 @@
 }
 END_TEST
 
+/* Guards against the same for requests that were already queued. */
+START_TEST (queued_request_is_refused_when_the_last_upstream_becomes_quiet)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_ONCE);
+  uint64_t attempt = fixture_request (&fixture, 1, 1);
+  const GsEffect *effect;
+
+  for (uint64_t id = 2; id <= 5; id++) /* four slots */
+    fixture_request (&fixture, id, id);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 5);
+  refuse_with_quiet_time (&fixture, attempt, 50000);
+  fixture_tick (&fixture, 10 * GS_US_PER_MS);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 3);
+  effect = fixture_find (&fixture, GS_EFFECT_ATTEMPT);
+  ck_assert_ptr_null (effect);
+  fixture_free (&fixture);
+}
+END_TEST
+
 /* Adds 20 members, so that this daemon is the home of hardly any pool. */
 static void
 add_members (Fixture *fixture)
@@ -684,6 +703,7 @@
               &upstream_reports_apply_to_pools_that_are_not_served_yet,
               &upstream_gets_no_requests_in_its_quiet_time,
               &request_is_refused_at_once_in_the_quiet_time_of_all_upstreams,
+              &queued_request_is_refused_when_the_last_upstream_becomes_quiet,
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
               &only_active_home_sends_no_evidence,
--- a/test/unit/test_scheduler.c
+++ b/test/unit/test_scheduler.c
@@ -414,6 +414,42 @@
 }
 END_TEST
 
+/* RETURN VALUE: retries that are granted until the budget is used up. If RENEW is set, each returns
+ * its grant and gets another one. */
+static int
+count_retries (bool renew)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (10);
+  int granted = 0;
+
+  for (;; granted++)
+    {
+      GsSlotRequest request = new_request (&fixture, GS_REPEAT_SAFE);
+      GsSlotReply reply;
+      request.is_retry = true;
+      reply = send_request (&fixture, &request);
+      if (reply.verdict != GS_SLOT_GRANTED)
+        break;
+      release_slot (&fixture, &reply, GS_OUTCOME_CANCELLED, 0);
+      request.token = ++fixture.next_token;
+      request.is_renewed = true;
+      if (renew)
+        ck_assert_int_eq (send_request (&fixture, &request).verdict, GS_SLOT_GRANTED);
+    }
+  gs_scheduler_free (fixture.scheduler);
+  return granted;
+}
+
+/* Guards against retries refused for want of budget since grants were returned unused. */
+START_TEST (retry_with_a_returned_grant_is_counted_once)
+{
+  int granted = count_retries (false);
+
+  ck_assert_int_gt (granted, 0);
+  ck_assert_int_eq (count_retries (true), granted);
+}
+END_TEST
+
 START_TEST (result_that_announces_leaving_excludes_the_upstream)
 {
   SchedulerFixture fixture = scheduler_fixture_new (1);
@@ -745,6 +781,7 @@
               &quiet_upstream_gets_no_requests_of_that_origin,
               &request_is_refused_at_once_while_all_upstreams_are_quiet,
               &request_waits_for_a_quiet_time_that_ends_before_its_target,
+              &retry_with_a_returned_grant_is_counted_once,
               &result_that_announces_leaving_excludes_the_upstream,
               &retries_stay_within_the_budget,
               &crashing_request_reaches_two_upstreams_at_most,
