--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -250,6 +250,21 @@
   return (int64_t)ahead * gs_pool_latency_us (state->pool) / MAX (limit, 1);
 }
 
+/* Rejects the request if all upstreams in rotation want no requests until its deadline. */
+static bool
+refuse_if_all_quiet (GsCore *core, Request *request)
+{
+  const GsPool *pool = request->pool->pool;
+  int64_t quiet_us = gs_pool_quiet_left_us (pool, core->now_us);
+
+  if (quiet_us == 0 || core->now_us + quiet_us + gs_pool_latency_us (pool) <= request->deadline_us)
+    return false;
+  core_add_effect (core, GS_EFFECT_REQUEST_HELD_BACK)->held_back = request->id;
+  request->retry_after_ms = notice_retry_after_ms (core, quiet_us);
+  request_fail (core, request, STATUS_UNAVAILABLE, "upstreams-quiet");
+  return true;
+}
+
 static void
 enqueue (GsCore *core, Request *request)
 {
@@ -261,6 +276,8 @@
                               .weight = request->weight };
   uint64_t evicted;
 
+  if (refuse_if_all_quiet (core, request))
+    return;
   if (gs_pool_in_rotation (state->pool) <= request->n_tried)
     {
       request_fail (core, request, STATUS_UNAVAILABLE, "no-other-upstream");
@@ -323,7 +340,7 @@
       request->phase = REQUEST_NEW;
       if (request->deadline_us <= core->now_us)
         request_fail (core, request, STATUS_UNAVAILABLE, "deadline-passed-in-queue");
-      else if (!start_upstream_attempt (core, request))
+      else if (!refuse_if_all_quiet (core, request) && !start_upstream_attempt (core, request))
         {
           request->phase = REQUEST_QUEUED;
           gs_queue_push_front (state->queue, &waiting);
@@ -567,6 +584,8 @@
     return;
   gs_pool_view (pool, (uint16_t)index, &view);
   gs_pool_end_attempt (pool, (uint16_t)index, &result);
+  gs_pool_set_quiet (pool, (uint16_t)index,
+                     core->now_us + notice_quiet_left_us (core, attempt->upstream));
   if (event->outcome == GS_OUTCOME_SILENT || event->outcome == GS_OUTCOME_CRASHED)
     drop_connections (core, &view, gs_outcome_name (event->outcome));
   if (event->outcome == GS_OUTCOME_LEAVING)
@@ -689,6 +708,7 @@
   state = attempt->pool;
   if (request != NULL)
     record_verdict (request, event->outcome);
+  notice_quiet (core, attempt, event->quiet_ms);
   if (attempt->grant != 0)
     {
       scheduling_attempt_end (core, request, attempt, event);
