Test an answer that is broken off and sent once more, failing

What callers would get: 200 with the stated length, whose body is the first bytes of the upstream's body and then the head of the upstream's second answer. The parser counts bytes only; joined answers are refused in heads and in skipped answers, not in the body of the own one.

--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1636,6 +1636,55 @@
 }
 END_TEST
 
+enum
+{
+  REPEATED_BODY_BYTES = 200,
+};
+
+/* Plays an answer that breaks off after each number of bytes of its body and is then sent once
+ * more, whole: the stated length is reached with bytes of the second one's head. */
+static void
+play_broken_off_and_repeated (Bench *bench, bool kept, Tally *tally)
+{
+  g_autofree char *body = g_strnfill (REPEATED_BODY_BYTES, 'b');
+  g_autofree char *head = g_strdup_printf (OK_HEAD ("Content-Length: %d\r\n"), REPEATED_BODY_BYTES);
+
+  for (size_t cut = 0; cut + strlen (head) <= REPEATED_BODY_BYTES; cut++)
+    {
+      g_autofree char *wire = g_strdup_printf ("%s%.*s%s%s", head, (int)cut, body, head, body);
+      Play play = { .method = "GET",
+                    .bytes = wire,
+                    .length = strlen (wire),
+                    .split = strlen (head) + cut,
+                    .kept = kept,
+                    .ending = ENDING_OPEN };
+      Call call;
+      GsExchangeState state = bench_play (bench, &call, &play);
+
+      tally_state (tally, bench, &play, "broken off and repeated", state,
+                   state != GS_EXCHANGE_COMPLETE);
+      call_end (&call);
+      bench_close_connections (bench);
+    }
+}
+
+/* Guards against an answer that is broken off, completed with bytes of its own repetition. */
+START_TEST (answer_that_is_broken_off_and_repeated_is_not_complete)
+{
+  Tally tally = { 0 };
+
+  for (Mode mode = 0; mode < N_MODES; mode++)
+    {
+      Bench *bench = bench_new (mode);
+
+      play_broken_off_and_repeated (bench, false, &tally);
+      play_broken_off_and_repeated (bench, true, &tally);
+      bench_free (bench);
+    }
+  tally_assert (&tally, "answers completed with bytes of another one");
+}
+END_TEST
+
 FIXTURE_MAIN ("exchange",
               &whole_answer_in_two_parts_is_complete,
               &answer_that_ends_in_its_head_is_not_complete,
@@ -1662,4 +1711,5 @@
               &trailer_does_not_name_the_request,
               &reset_during_the_request_does_not_end_the_answer,
               &large_answer_is_streamed_whole,
-              &large_answer_that_is_cut_is_broken)
+              &large_answer_that_is_cut_is_broken,
+              &answer_that_is_broken_off_and_repeated_is_not_complete)
