Test a copy of the answer to a request with the same id, failing

What callers would get: a caller that repeats its request with the same id is told 503 "not run" by a late copy of the first refusal, while the upstream runs the second request. The pool hands out a connection that has carried the id before; only attempts of one request are kept apart.

--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1685,6 +1685,38 @@
 }
 END_TEST
 
+/* Guards against a late copy of a refusal, taken for the answer to a request with the same id. */
+START_TEST (copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete)
+{
+  static const char copy[] = HEAD ("HTTP/1.1 503 Busy", LENGTH ("5")) "stale";
+  Tally tally = { 0 };
+
+  for (Mode mode = 0; mode < N_MODES; mode++)
+    {
+      Bench *bench = bench_new (mode);
+      GsExchangeOptions options = { .method = "GET", .echo = OWN_ECHO };
+      uint32_t serial = bench_complete_request (bench, OWN_ECHO)->serial;
+      Connection *connection;
+      Call call;
+
+      call_start (bench, &call, &options);
+      connection = call_wait_for_request (bench, &call);
+      ck_assert_ptr_nonnull (connection);
+      if (connection->serial == serial)
+        {
+          connection_send (connection, copy, strlen (copy));
+          connection_settle (bench, connection, &call);
+        }
+      tally_check (&tally, gs_exchange_state (call.exchange) != GS_EXCHANGE_COMPLETE,
+                   "%s mode: state %s", mode_names[mode],
+                   state_name (gs_exchange_state (call.exchange)));
+      call_end (&call);
+      bench_free (bench);
+    }
+  tally_assert (&tally, "copies of earlier answers taken as complete");
+}
+END_TEST
+
 FIXTURE_MAIN ("exchange",
               &whole_answer_in_two_parts_is_complete,
               &answer_that_ends_in_its_head_is_not_complete,
@@ -1712,4 +1744,5 @@
               &reset_during_the_request_does_not_end_the_answer,
               &large_answer_is_streamed_whole,
               &large_answer_that_is_cut_is_broken,
-              &answer_that_is_broken_off_and_repeated_is_not_complete)
+              &answer_that_is_broken_off_and_repeated_is_not_complete,
+              &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete)
