Test a Keep-Alive timeout that is too large, failing

An upstream that states a very long idle timeout ends a daemon that is built with sanitizers; elsewhere the deadline is undefined.

--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1717,6 +1717,28 @@
 }
 END_TEST
 
+/* Guards against a stated idle timeout whose conversion overflows. */
+START_TEST (keep_alive_with_a_large_timeout_is_read)
+{
+  static const char *const timeouts[]
+      = { "9223372036854775", "9223372036854775807", "18446744073709551615" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (timeouts); i++)
+    {
+      Bench *bench = bench_new (MODE_PLATFORM);
+      g_autofree char *wire
+          = g_strdup_printf (OK_HEAD ("Keep-Alive: timeout=%s\r\n" LENGTH ("2")) "ok", timeouts[i]);
+      Play play
+          = { .method = "GET", .bytes = wire, .length = strlen (wire), .ending = ENDING_OPEN };
+      Call call;
+
+      ck_assert_int_eq (bench_play (bench, &call, &play), GS_EXCHANGE_COMPLETE);
+      call_end (&call);
+      bench_free (bench);
+    }
+}
+END_TEST
+
 FIXTURE_MAIN ("exchange",
               &whole_answer_in_two_parts_is_complete,
               &answer_that_ends_in_its_head_is_not_complete,
@@ -1745,4 +1767,5 @@
               &large_answer_is_streamed_whole,
               &large_answer_that_is_cut_is_broken,
               &answer_that_is_broken_off_and_repeated_is_not_complete,
-              &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete)
+              &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
+              &keep_alive_with_a_large_timeout_is_read)
