Test a large answer that comes before the whole request, failing

What callers would get: a whole answer that is broken off at its end. When an answer is larger than the buffer, notify_owner clears options.body and reports it; write_request goes on from the cleared pointer, sendmsg fails with EFAULT, and write_failed makes the end of file count as a reset. The upstream never gets the rest of the request either.

Evidence, on this code:

the answer is not whole: found end -1 after 1348576 bytes, expected 0 after 1348576

--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1739,6 +1739,74 @@
 }
 END_TEST
 
+/* Reads what is there of the request's body. RETURN VALUE: whether all bytes are those of BODY. */
+static bool
+connection_compare (Connection *connection, const char *body, size_t *n_received)
+{
+  static char block[65536];
+  ssize_t got;
+
+  while ((got = recv (connection->fd, block, sizeof block, 0)) > 0)
+    {
+      if (*n_received + (size_t)got > UPLOAD_BYTES
+          || memcmp (block, body + *n_received, (size_t)got) != 0)
+        return false;
+      *n_received += (size_t)got;
+    }
+  return true;
+}
+
+/* Guards against a large answer that comes before the request has been written whole: its owner
+ * learns of it while the rest of the request's body is still to be sent. */
+START_TEST (large_answer_before_the_whole_request_is_streamed_whole)
+{
+  g_autofree char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  size_t head_length;
+  g_autoptr (GString) wire = large_wire (&forms[3], &head_length);
+  Bench *bench = bench_new (MODE_PLATFORM);
+  GsExchangeOptions options
+      = { .method = "POST", .echo = OWN_ECHO, .body = body, .body_length = UPLOAD_BYTES };
+  LargeRead result = { .end = GS_EXCHANGE_READ_PENDING, .intact = true };
+  size_t n_received = 0;
+  bool is_same = true;
+  Connection *connection;
+  Call call;
+
+  ck_assert_str_eq (forms[3].name, "until close");
+  call_start (bench, &call, &options);
+  connection = call_wait_for_request (bench, &call);
+  ck_assert_ptr_nonnull (connection);
+  while (!call.done)
+    {
+      ssize_t sent = send (connection->fd, wire->str + connection->sent_bytes,
+                           wire->len - connection->sent_bytes, MSG_NOSIGNAL);
+      connection->sent_bytes += (size_t)MAX (sent, 0);
+      ev_run (bench->loop, EVRUN_NOWAIT);
+    }
+  ck_assert_int_eq (gs_exchange_state (call.exchange), GS_EXCHANGE_STREAMING);
+  while (result.end == GS_EXCHANGE_READ_PENDING)
+    {
+      is_same = connection_compare (connection, body, &n_received) && is_same;
+      ev_run (bench->loop, EVRUN_NOWAIT);
+      if (connection->sent_bytes < wire->len)
+        connection->sent_bytes
+            += (size_t)MAX (send (connection->fd, wire->str + connection->sent_bytes,
+                                  wire->len - connection->sent_bytes, MSG_NOSIGNAL),
+                            0);
+      else if (connection_is_read (connection))
+        shutdown (connection->fd, SHUT_WR);
+      large_read (&call, &result);
+    }
+  ck_assert_msg (is_same, "other bytes than the request's after %zu", n_received);
+  ck_assert_msg (result.end == GS_EXCHANGE_READ_END && result.intact
+                     && result.length == wire->len - head_length,
+                 "the answer is not whole: found end %zd after %zu bytes, expected %d after %zu",
+                 result.end, result.length, GS_EXCHANGE_READ_END, wire->len - head_length);
+  call_end (&call);
+  bench_free (bench);
+}
+END_TEST
+
 FIXTURE_MAIN ("exchange",
               &whole_answer_in_two_parts_is_complete,
               &answer_that_ends_in_its_head_is_not_complete,
@@ -1768,4 +1836,5 @@
               &large_answer_that_is_cut_is_broken,
               &answer_that_is_broken_off_and_repeated_is_not_complete,
               &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
-              &keep_alive_with_a_large_timeout_is_read)
+              &keep_alive_with_a_large_timeout_is_read,
+              &large_answer_before_the_whole_request_is_streamed_whole)
