Test the entry between a caller's and an upstream's socket

http/entry, request_head and proxy_request had no unit test. test_entry runs an engine without peers on free loopback ports. The first cases: a whole request is passed on, and a request that its caller broke off (in its head, body, chunks or trailers, or with a coding that isn't known) is not.

--- /dev/null
+++ b/test/unit/test_entry.c
@@ -0,0 +1,299 @@
+/*
+ * Unit tests of http/entry, http/request_head and http/proxy_request: a daemon without peers
+ * between a caller and an upstream that are both sockets of the test. Daemon, caller and upstream
+ * share one thread and one event loop.
+ */
+#include <errno.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../../src/gentian/http/entry.h"
+#include "../../src/gentian/http/exchange.h"
+#include "fixture.h"
+
+enum
+{
+  TEST_QUIET_US = 60 * 1000, /* without new bytes, after which no more are awaited */
+  TEST_UPSTREAMS_MAX = 16,   /* connections to the upstream */
+  TEST_PORTS = 4,
+};
+
+static const char settings_text[]
+    = "instance: i\nfailure_domain: d\naddress: 127.0.0.1\nentry_port: %u\nadmin_port: %u\n"
+      "peer_port: %u\nstore_url: http://127.0.0.1:9\nfleet_key: "
+      "'0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef'\nseeds: []\n"
+      "log_level: error\n";
+
+/** Header names of a platform, as far as the tests need them. */
+static const GsHeaderNames platform_names = { .caller_timeout = "Timeout",
+                                              .deadline = "Deadline",
+                                              .request_id = "Id",
+                                              .not_run = "Not-Run",
+                                              .response_stamp = "Stamp" };
+
+/** A daemon and its upstream. */
+typedef struct
+{
+  struct ev_loop *loop;
+  GsSettings *settings;
+  GsEngine *engine;
+  GsEntry *entry;
+  int listener;
+  int upstreams[TEST_UPSTREAMS_MAX];
+  uint32_t n_upstreams;
+  GString *asked; /* what the upstream has received, on all its connections */
+} Bench;
+
+static int
+listen_on_loopback (uint16_t *port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&address, size), 0);
+  ck_assert_int_eq (listen (fd, SOMAXCONN), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&address, &size), 0);
+  *port = ntohs (address.sin_port);
+  return fd;
+}
+
+/* Finds free ports for the daemon. */
+static void
+find_ports (uint16_t *ports)
+{
+  int fds[TEST_PORTS];
+
+  for (int i = 0; i < TEST_PORTS; i++)
+    fds[i] = listen_on_loopback (&ports[i]);
+  for (int i = 0; i < TEST_PORTS; i++)
+    close (fds[i]);
+}
+
+/* Gives the daemon tables with one pool that has one upstream at PORT. */
+static void
+post_tables (Bench *bench, uint16_t port)
+{
+  GsEvent position = { .kind = GS_EVENT_LOG_POSITION, .position = { .from_start = true } };
+  GsDocument *document = fixture_tables (1, GS_REPEAT_SAFE);
+  GsEvent edit = { .kind = GS_EVENT_EDIT,
+                   .edit = { .edit = { .submission = 100,
+                                       .workspace = document->workspace,
+                                       .text = "",
+                                       .document = document } } };
+
+  document->pools[0].upstreams[0].ipv4 = INADDR_LOOPBACK;
+  document->pools[0].upstreams[0].port = port;
+  document->routes[0].timeout_ms = 3000;
+  document->routes[0].attempt_timeout_ms = 3000;
+  gs_engine_post (bench->engine, &position);
+  gs_engine_post (bench->engine, &edit);
+}
+
+static Bench *
+bench_new (const GsHeaderNames *names)
+{
+  Bench *bench = g_new0 (Bench, 1);
+  GsEngineOptions engine = { 0 };
+  GsEntryOptions entry = { .header_names = names, .client = { .allow_unframed = names != NULL } };
+  uint16_t ports[TEST_PORTS];
+  uint16_t port;
+  g_autofree char *text = NULL;
+
+  bench->listener = listen_on_loopback (&port);
+  find_ports (ports);
+  text = g_strdup_printf (settings_text, ports[0], ports[1], ports[2]);
+  bench->loop = ev_loop_new (EVFLAG_AUTO);
+  bench->settings = gs_settings_parse ("settings", text, strlen (text), NULL);
+  ck_assert_ptr_nonnull (bench->settings);
+  engine.settings = bench->settings;
+  engine.loop = bench->loop;
+  bench->engine = gs_engine_new (&engine, NULL);
+  ck_assert_ptr_nonnull (bench->engine);
+  entry.engine = bench->engine;
+  bench->entry = gs_entry_new (&entry, NULL);
+  ck_assert_ptr_nonnull (bench->entry);
+  bench->asked = g_string_new (NULL);
+  post_tables (bench, port);
+  return bench;
+}
+
+static void
+bench_free (Bench *bench)
+{
+  if (bench->entry != NULL)
+    gs_entry_free (bench->entry);
+  gs_engine_free (bench->engine);
+  gs_settings_free (bench->settings);
+  for (uint32_t i = 0; i < bench->n_upstreams; i++)
+    close (bench->upstreams[i]);
+  close (bench->listener);
+  ev_loop_destroy (bench->loop);
+  g_string_free (bench->asked, TRUE);
+  g_free (bench);
+}
+
+/* Appends to OUT what FD has. RETURN VALUE: as that of the last recv. */
+static ssize_t
+receive (int fd, GString *out)
+{
+  char block[65536];
+  ssize_t got;
+
+  while ((got = recv (fd, block, sizeof block, MSG_DONTWAIT)) > 0)
+    g_string_append_len (out, block, got);
+  return got;
+}
+
+static void
+on_pause (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)watcher;
+  (void)events;
+}
+
+static void
+bench_step (Bench *bench)
+{
+  ev_timer pause;
+  int fd;
+
+  ev_timer_init (&pause, on_pause, 0.001, 0.);
+  ev_timer_start (bench->loop, &pause);
+  ev_run (bench->loop, EVRUN_ONCE);
+  ev_timer_stop (bench->loop, &pause);
+  while (bench->n_upstreams < TEST_UPSTREAMS_MAX
+         && (fd = accept4 (bench->listener, NULL, NULL, SOCK_CLOEXEC)) >= 0)
+    bench->upstreams[bench->n_upstreams++] = fd;
+  for (uint32_t i = 0; i < bench->n_upstreams; i++)
+    receive (bench->upstreams[i], bench->asked);
+}
+
+/* Runs the daemon until the upstream has received nothing for a while. */
+static void
+bench_settle (Bench *bench)
+{
+  int64_t quiet_since_us = g_get_monotonic_time ();
+  gsize seen = bench->asked->len;
+
+  while (g_get_monotonic_time () - quiet_since_us < TEST_QUIET_US)
+    {
+      bench_step (bench);
+      if (bench->asked->len == seen)
+        continue;
+      seen = bench->asked->len;
+      quiet_since_us = g_get_monotonic_time ();
+    }
+}
+
+static int
+caller_connect (const Bench *bench)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)bench->settings->entry_port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&address, sizeof address), 0);
+  return fd;
+}
+
+static void
+send_all (int fd, const char *bytes, size_t length)
+{
+  ck_assert_int_eq (send (fd, bytes, length, MSG_NOSIGNAL), (ssize_t)length);
+}
+
+/** Bytes of a caller that are no request, or none that has been received whole. */
+typedef struct
+{
+  const char *name;
+  const char *bytes;
+  bool ends; /* the caller closes its side behind them */
+} Sent;
+
+#define REQUEST(lines) "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n" lines "\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+/** HIDDEN_LENGTH bytes, which are a request where they are not a body. */
+#define HIDDEN "GET /hidden HTTP/1.1\r\nHost: h\r\nId: 2\r\n\r\n"
+#define HIDDEN_LENGTH "40"
+
+/* Sends each of SENT on a connection of its own; none may reach the upstream. */
+static void
+check_not_passed_on (const Sent *sent, size_t n_sent, const char *what)
+{
+  GString *wrong = g_string_new (NULL);
+  uint32_t n_wrong = 0;
+
+  for (size_t i = 0; i < n_sent; i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+
+      send_all (fd, sent[i].bytes, strlen (sent[i].bytes));
+      bench_settle (bench);
+      if (sent[i].ends)
+        shutdown (fd, SHUT_WR);
+      bench_settle (bench);
+      if (bench->asked->len > 0)
+        {
+          g_autofree char *asked = g_strescape (bench->asked->str, NULL);
+          if (n_wrong++ == 0)
+            g_string_printf (wrong, "%s: the upstream got \"%s\"", sent[i].name, asked);
+        }
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+  ck_assert_msg (n_wrong == 0, "%s: found %u of %zu, expected 0; first: %s", what, n_wrong, n_sent,
+                 wrong->str);
+  g_string_free (wrong, TRUE);
+}
+
+/* Guards against this program's own daemon passing nothing on. */
+START_TEST (whole_request_is_passed_on)
+{
+  static const char *const whole[]
+      = { REQUEST ("Content-Length: 5\r\n") "hello",
+          REQUEST (CHUNKED) "2\r\nhe\r\n3\r\nllo\r\n0\r\nId: 7\r\n\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (whole); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+
+      send_all (fd, whole[i], strlen (whole[i]));
+      bench_settle (bench);
+      ck_assert (g_str_has_prefix (bench->asked->str, "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n"));
+      ck_assert (g_str_has_suffix (bench->asked->str, "Content-Length: 5\r\n\r\nhello"));
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+}
+END_TEST
+
+/* Guards against a request that its caller broke off, passed on as a whole one. */
+START_TEST (request_that_is_broken_off_is_not_passed_on)
+{
+  static const Sent sent[] = {
+    { "head", "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n", true },
+    { "head without its last byte", "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r", true },
+    { "body with a length", REQUEST ("Content-Length: 6\r\n") "hello", true },
+    { "chunk", REQUEST (CHUNKED) "5\r\nhell", true },
+    { "chunk without its line end", REQUEST (CHUNKED) "5\r\nhello", true },
+    { "chunks without the last one", REQUEST (CHUNKED) "5\r\nhello\r\n", true },
+    { "last chunk without its line end", REQUEST (CHUNKED) "5\r\nhello\r\n0", true },
+    { "last chunk without the end", REQUEST (CHUNKED) "5\r\nhello\r\n0\r\n", true },
+    { "trailers", REQUEST (CHUNKED) "5\r\nhello\r\n0\r\nA: b\r\n", true },
+    { "unknown coding", REQUEST ("Transfer-Encoding: gzip\r\n") "hello", true },
+  };
+
+  check_not_passed_on (sent, G_N_ELEMENTS (sent), "requests that were broken off passed on");
+}
+END_TEST
+
+FIXTURE_MAIN ("entry", &whole_request_is_passed_on, &request_that_is_broken_off_is_not_passed_on)
