Test requests with contradictory lengths, failing

Evidence, on this code:

contradictory lengths passed on: found 5 of 5, expected 0; first: two lengths, the first is 0: the upstream got "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nDeadline: 2999\r\nContent-Length: 0\r\n\r\n"

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -296,4 +296,27 @@
 }
 END_TEST
 
-FIXTURE_MAIN ("entry", &whole_request_is_passed_on, &request_that_is_broken_off_is_not_passed_on)
+/* Guards against a caller that hides a request in the body of another one: sides that choose
+ * different lengths disagree on where it ends. */
+START_TEST (request_with_contradictory_lengths_is_not_passed_on)
+{
+  static const Sent sent[] = {
+    { "two lengths, the first is 0",
+      REQUEST ("Content-Length: 0\r\nContent-Length: " HIDDEN_LENGTH "\r\n") HIDDEN, false },
+    { "two lengths, the second is 0",
+      REQUEST ("Content-Length: " HIDDEN_LENGTH "\r\nContent-Length: 0\r\n") HIDDEN, false },
+    { "a length beside chunks", REQUEST ("Content-Length: 45\r\n" CHUNKED) "0\r\n\r\n" HIDDEN,
+      false },
+    { "length 0 beside chunks", REQUEST (CHUNKED "Content-Length: 0\r\n") "0\r\n\r\n", false },
+    { "two codings", REQUEST (CHUNKED "Transfer-Encoding: identity\r\n") "0\r\n\r\n" HIDDEN,
+      false },
+  };
+
+  check_not_passed_on (sent, G_N_ELEMENTS (sent), "contradictory lengths passed on");
+}
+END_TEST
+
+FIXTURE_MAIN ("entry",
+              &whole_request_is_passed_on,
+              &request_that_is_broken_off_is_not_passed_on,
+              &request_with_contradictory_lengths_is_not_passed_on)
