Test headers whose names are no tokens, failing

What upstreams would get: a Content-Length or Transfer-Encoding with a blank before its colon, beside the daemon's own length.

Evidence, on this code:

malformed headers passed on: found 7 of 7, expected 0; first: blank before the colon: the upstream got "POST /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nContent-Length : 40\r\nDeadline: 2999\r\nContent-Length: 0\r\n\r\n"

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -316,7 +316,27 @@
 }
 END_TEST
 
+/* Guards against a header that the daemon does not take for a length and an upstream does. */
+START_TEST (header_whose_name_is_no_token_is_not_passed_on)
+{
+  static const Sent sent[] = {
+    { "blank before the colon", REQUEST ("Content-Length : " HIDDEN_LENGTH "\r\n") HIDDEN, false },
+    { "tab before the colon", REQUEST ("Content-Length\t: " HIDDEN_LENGTH "\r\n") HIDDEN, false },
+    { "control character before the colon",
+      REQUEST ("Content-Length\v: " HIDDEN_LENGTH "\r\n") HIDDEN, false },
+    { "blank before the colon of the coding",
+      REQUEST ("Transfer-Encoding : chunked\r\n") "0\r\n\r\n", false },
+    { "blank in the name", REQUEST ("X Y: a\r\n"), false },
+    { "folded line", REQUEST ("X: a\r\n Content-Length: 5\r\n"), false },
+    { "folded length", REQUEST ("Content-Length:\r\n 5\r\n") "hello", false },
+  };
+
+  check_not_passed_on (sent, G_N_ELEMENTS (sent), "malformed headers passed on");
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &whole_request_is_passed_on,
               &request_that_is_broken_off_is_not_passed_on,
-              &request_with_contradictory_lengths_is_not_passed_on)
+              &request_with_contradictory_lengths_is_not_passed_on,
+              &header_whose_name_is_no_token_is_not_passed_on)
