Test a success whose stamp is empty, failing

The stamp is looked for, its value is not; libmicrohttpd then refuses to add a header without a value, and add_header doesn't look at the result.

Evidence, on this code:

successes without their stamp: found those of ""

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -335,8 +335,50 @@
 }
 END_TEST
 
+/* Sends the answer of the upstream to the first request. */
+static void
+upstream_answer (Bench *bench, const char *answer)
+{
+  bench_settle (bench);
+  ck_assert_uint_eq (bench->n_upstreams, 1);
+  send_all (bench->upstreams[0], answer, strlen (answer));
+}
+
+/* Guards against a success that reaches the caller without the upstream's stamp: the library drops
+ * a header without a value. */
+START_TEST (success_keeps_its_stamp)
+{
+  static const char *const stamps[] = { "a", "" };
+  GString *wrong = g_string_new (NULL);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stamps); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_autofree char *wire = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: %s\r\nContent-Length: 2\r\n\r\nok", stamps[i]);
+
+      send_all (fd, REQUEST ("Content-Length: 0\r\n"), strlen (REQUEST ("Content-Length: 0\r\n")));
+      upstream_answer (bench, wire);
+      bench_settle (bench);
+      receive (fd, answer);
+      if (answer->len == 0
+          || (g_str_has_prefix (answer->str, "HTTP/1.1 200")
+              && strstr (answer->str, "\r\nStamp:") == NULL))
+        g_string_append_printf (wrong, " \"%s\"", stamps[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+  ck_assert_msg (wrong->len == 0, "successes without their stamp: found those of%s", wrong->str);
+  g_string_free (wrong, TRUE);
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &whole_request_is_passed_on,
               &request_that_is_broken_off_is_not_passed_on,
               &request_with_contradictory_lengths_is_not_passed_on,
-              &header_whose_name_is_no_token_is_not_passed_on)
+              &header_whose_name_is_no_token_is_not_passed_on,
+              &success_keeps_its_stamp)
