Test the refusal of a malformed length, failing

What callers would get: a 400 whose body is the head of the same 400 once more, cut at the stated length, and bytes behind it that are no answer. libmicrohttpd 0.9.75 queues this answer by itself, before any handler.

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -376,9 +376,29 @@
 }
 END_TEST
 
+/* Guards against a refusal that starts with the head of another answer. */
+START_TEST (refusal_of_a_malformed_length_is_one_answer)
+{
+  static const char request[] = REQUEST ("Content-Length: 5x\r\n") "hello";
+  Bench *bench = bench_new (&platform_names);
+  int fd = caller_connect (bench);
+  g_autoptr (GString) answer = g_string_new (NULL);
+
+  send_all (fd, request, strlen (request));
+  bench_settle (bench);
+  receive (fd, answer);
+  ck_assert_msg (answer->len > 0 && strstr (answer->str + 1, "HTTP/1.1 ") == NULL,
+                 "a refusal has two heads: found \"%s\"", g_strescape (answer->str, NULL));
+  close (fd);
+  bench_settle (bench);
+  bench_free (bench);
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &whole_request_is_passed_on,
               &request_that_is_broken_off_is_not_passed_on,
               &request_with_contradictory_lengths_is_not_passed_on,
               &header_whose_name_is_no_token_is_not_passed_on,
-              &success_keeps_its_stamp)
+              &success_keeps_its_stamp,
+              &refusal_of_a_malformed_length_is_one_answer)
