Test unframed answers that the daemon gives up, failing

What callers would get: an HTTP/1.0 caller gets half of a large answer and an orderly end of file, which is how its whole answer would end. The reset is sent where the upstream breaks off; read_stream returns before it when the caller has closed its own side (a half-close is legal), and nothing sends it when the daemon ends.

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -395,10 +395,91 @@
 }
 END_TEST
 
+enum
+{
+  PART_BYTES = GS_EXCHANGE_BUFFER_BYTES + 200 * 1000, /* of a body of twice as many */
+};
+
+/* Starts an answer without a length to a caller that knows no chunks, and sends a part of it. */
+static int
+start_unframed_stream (Bench *bench, GString *received)
+{
+  static const char request[] = "GET /x HTTP/1.0\r\nHost: h\r\nId: 1\r\n\r\n";
+  g_autofree char *part = g_strnfill (PART_BYTES, 'p');
+  g_autofree char *head = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: a\r\n" CHUNKED "\r\n%x\r\n", 2 * PART_BYTES);
+  int fd = caller_connect (bench);
+  size_t sent = 0;
+
+  send_all (fd, request, strlen (request));
+  upstream_answer (bench, head);
+  while (sent < PART_BYTES)
+    {
+      ssize_t count
+          = send (bench->upstreams[0], part + sent, PART_BYTES - sent, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      sent += (size_t)MAX (count, 0);
+      bench_step (bench);
+      receive (fd, received);
+    }
+  for (int i = 0; i < 50; i++)
+    {
+      bench_step (bench);
+      receive (fd, received);
+    }
+  ck_assert_uint_gt (received->len, PART_BYTES);
+  return fd;
+}
+
+/* Guards against an orderly close that lets a part of an answer pass for the whole one, where the
+ * caller has closed its own side after the request. */
+START_TEST (unframed_answer_to_a_caller_that_closed_its_side_does_not_end_orderly)
+{
+  Bench *bench = bench_new (&platform_names);
+  g_autoptr (GString) received = g_string_new (NULL);
+  int fd = start_unframed_stream (bench, received);
+  int64_t until_us = g_get_monotonic_time () + 1000 * GS_US_PER_MS;
+  ssize_t last = -1;
+
+  shutdown (fd, SHUT_WR);
+  errno = EAGAIN;
+  while (last < 0 && errno == EAGAIN && g_get_monotonic_time () < until_us)
+    {
+      bench_step (bench);
+      last = receive (fd, received);
+    }
+  ck_assert_msg (last != 0, "a part ends orderly: found an end of file after %zu bytes",
+                 received->len);
+  close (fd);
+  bench_settle (bench);
+  bench_free (bench);
+}
+END_TEST
+
+/* Guards against the same at the end of the daemon. */
+START_TEST (unframed_answer_does_not_end_orderly_with_the_daemon)
+{
+  Bench *bench = bench_new (&platform_names);
+  g_autoptr (GString) received = g_string_new (NULL);
+  int fd = start_unframed_stream (bench, received);
+  ssize_t last;
+
+  gs_entry_free (bench->entry);
+  bench->entry = NULL;
+  last = receive (fd, received);
+  ck_assert_msg (last != 0, "a part ends orderly: found an end of file after %zu bytes",
+                 received->len);
+  close (fd);
+  bench_free (bench);
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &whole_request_is_passed_on,
               &request_that_is_broken_off_is_not_passed_on,
               &request_with_contradictory_lengths_is_not_passed_on,
               &header_whose_name_is_no_token_is_not_passed_on,
               &success_keeps_its_stamp,
-              &refusal_of_a_malformed_length_is_one_answer)
+              &refusal_of_a_malformed_length_is_one_answer,
+              &unframed_answer_to_a_caller_that_closed_its_side_does_not_end_orderly,
+              &unframed_answer_does_not_end_orderly_with_the_daemon)
