--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1561,6 +1561,177 @@
 }
 END_TEST
 
+enum
+{
+  REPEATED_BODY_BYTES = 200,
+};
+
+/* Plays an answer that breaks off after each number of bytes of its body and is then sent once
+ * more, whole: the stated length is reached with bytes of the second one's head. */
+static void
+play_broken_off_and_repeated (Bench *bench, bool kept, Tally *tally)
+{
+  g_autofree char *body = g_strnfill (REPEATED_BODY_BYTES, 'b');
+  g_autofree char *head = g_strdup_printf (OK_HEAD ("Content-Length: %d\r\n"), REPEATED_BODY_BYTES);
+
+  for (size_t cut = 0; cut + strlen (head) <= REPEATED_BODY_BYTES; cut++)
+    {
+      g_autofree char *wire = g_strdup_printf ("%s%.*s%s%s", head, (int)cut, body, head, body);
+      Play play = { .method = "GET",
+                    .bytes = wire,
+                    .length = strlen (wire),
+                    .split = strlen (head) + cut,
+                    .kept = kept,
+                    .ending = ENDING_OPEN };
+      Call call;
+      GsExchangeState state = bench_play (bench, &call, &play);
+
+      tally_state (tally, bench, &play, "broken off and repeated", state,
+                   state != GS_EXCHANGE_COMPLETE);
+      call_end (&call);
+      bench_close_connections (bench);
+    }
+}
+
+/* Guards against an answer that is broken off, completed with bytes of its own repetition. */
+START_TEST (answer_that_is_broken_off_and_repeated_is_not_complete)
+{
+  Tally tally = { 0 };
+
+  for (Mode mode = 0; mode < N_MODES; mode++)
+    {
+      Bench *bench = bench_new (mode);
+
+      play_broken_off_and_repeated (bench, false, &tally);
+      play_broken_off_and_repeated (bench, true, &tally);
+      bench_free (bench);
+    }
+  tally_assert (&tally, "answers completed with bytes of another one");
+}
+END_TEST
+
+/* Guards against a late copy of a refusal, taken for the answer to a request with the same id. */
+START_TEST (copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete)
+{
+  static const char copy[] = HEAD ("HTTP/1.1 503 Busy", LENGTH ("5")) "stale";
+  Tally tally = { 0 };
+
+  for (Mode mode = 0; mode < N_MODES; mode++)
+    {
+      Bench *bench = bench_new (mode);
+      GsExchangeOptions options = { .method = "GET", .echo = OWN_ECHO };
+      uint32_t serial = bench_complete_request (bench, OWN_ECHO)->serial;
+      Connection *connection;
+      Call call;
+
+      call_start (bench, &call, &options);
+      connection = call_wait_for_request (bench, &call);
+      ck_assert_ptr_nonnull (connection);
+      if (connection->serial == serial)
+        {
+          connection_send (connection, copy, strlen (copy));
+          connection_settle (bench, connection, &call);
+        }
+      tally_check (&tally, gs_exchange_state (call.exchange) != GS_EXCHANGE_COMPLETE,
+                   "%s mode: state %s", mode_names[mode],
+                   state_name (gs_exchange_state (call.exchange)));
+      call_end (&call);
+      bench_free (bench);
+    }
+  tally_assert (&tally, "copies of earlier answers taken as complete");
+}
+END_TEST
+
+/* Guards against a stated idle timeout whose conversion overflows. */
+START_TEST (keep_alive_with_a_large_timeout_is_read)
+{
+  static const char *const timeouts[]
+      = { "9223372036854775", "9223372036854775807", "18446744073709551615" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (timeouts); i++)
+    {
+      Bench *bench = bench_new (MODE_PLATFORM);
+      g_autofree char *wire
+          = g_strdup_printf (OK_HEAD ("Keep-Alive: timeout=%s\r\n" LENGTH ("2")) "ok", timeouts[i]);
+      Play play
+          = { .method = "GET", .bytes = wire, .length = strlen (wire), .ending = ENDING_OPEN };
+      Call call;
+
+      ck_assert_int_eq (bench_play (bench, &call, &play), GS_EXCHANGE_COMPLETE);
+      call_end (&call);
+      bench_free (bench);
+    }
+}
+END_TEST
+
+/* Reads what is there of the request's body. RETURN VALUE: whether all bytes are those of BODY. */
+static bool
+connection_compare (Connection *connection, const char *body, size_t *n_received)
+{
+  static char block[65536];
+  ssize_t got;
+
+  while ((got = recv (connection->fd, block, sizeof block, 0)) > 0)
+    {
+      if (*n_received + (size_t)got > UPLOAD_BYTES
+          || memcmp (block, body + *n_received, (size_t)got) != 0)
+        return false;
+      *n_received += (size_t)got;
+    }
+  return true;
+}
+
+/* Guards against a large answer that comes before the request has been written whole: its owner
+ * learns of it while the rest of the request's body is still to be sent. */
+START_TEST (large_answer_before_the_whole_request_is_streamed_whole)
+{
+  g_autofree char *body = g_strnfill (UPLOAD_BYTES, 'u');
+  size_t head_length;
+  g_autoptr (GString) wire = large_wire (&forms[3], &head_length);
+  Bench *bench = bench_new (MODE_PLATFORM);
+  GsExchangeOptions options
+      = { .method = "POST", .echo = OWN_ECHO, .body = body, .body_length = UPLOAD_BYTES };
+  LargeRead result = { .end = GS_EXCHANGE_READ_PENDING, .intact = true };
+  size_t n_received = 0;
+  bool is_same = true;
+  Connection *connection;
+  Call call;
+
+  ck_assert_str_eq (forms[3].name, "until close");
+  call_start (bench, &call, &options);
+  connection = call_wait_for_request (bench, &call);
+  ck_assert_ptr_nonnull (connection);
+  while (!call.done)
+    {
+      ssize_t sent = send (connection->fd, wire->str + connection->sent_bytes,
+                           wire->len - connection->sent_bytes, MSG_NOSIGNAL);
+      connection->sent_bytes += (size_t)MAX (sent, 0);
+      ev_run (bench->loop, EVRUN_NOWAIT);
+    }
+  ck_assert_int_eq (gs_exchange_state (call.exchange), GS_EXCHANGE_STREAMING);
+  while (result.end == GS_EXCHANGE_READ_PENDING)
+    {
+      is_same = connection_compare (connection, body, &n_received) && is_same;
+      ev_run (bench->loop, EVRUN_NOWAIT);
+      if (connection->sent_bytes < wire->len)
+        connection->sent_bytes
+            += (size_t)MAX (send (connection->fd, wire->str + connection->sent_bytes,
+                                  wire->len - connection->sent_bytes, MSG_NOSIGNAL),
+                            0);
+      else if (connection_is_read (connection))
+        shutdown (connection->fd, SHUT_WR);
+      large_read (&call, &result);
+    }
+  ck_assert_msg (is_same, "other bytes than the request's after %zu", n_received);
+  ck_assert_msg (result.end == GS_EXCHANGE_READ_END && result.intact
+                     && result.length == wire->len - head_length,
+                 "the answer is not whole: found end %zd after %zu bytes, expected %d after %zu",
+                 result.end, result.length, GS_EXCHANGE_READ_END, wire->len - head_length);
+  call_end (&call);
+  bench_free (bench);
+}
+END_TEST
+
 FIXTURE_MAIN ("exchange",
               &whole_answer_in_two_parts_is_complete,
               &answer_that_ends_in_its_head_is_not_complete,
@@ -1592,4 +1763,8 @@
               &trailer_does_not_name_the_request,
               &reset_during_the_request_does_not_end_the_answer,
               &large_answer_is_streamed_whole,
-              &large_answer_that_is_cut_is_broken)
+              &large_answer_that_is_cut_is_broken,
+              &answer_that_is_broken_off_and_repeated_is_not_complete,
+              &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
+              &keep_alive_with_a_large_timeout_is_read,
+              &large_answer_before_the_whole_request_is_streamed_whole)
