Use an upstream again that registers as serving again

Cause: the result of a returned grant told the scheduler that the upstream leaves, which excludes it for good, also where only a registration said so.

Change: only an announcement in an answer is passed on; a registration reaches the scheduler by itself.

--- a/src/gentian/core/registry.c
+++ b/src/gentian/core/registry.c
@@ -326,13 +326,17 @@
 }
 
 bool
-gs_registry_is_leaving (const GsRegistry *registry, const char *id, uint64_t started_ms)
+gs_registry_has_announced_leaving (const GsRegistry *registry, const char *id, uint64_t started_ms)
 {
   const RegistryEntry *entry = g_hash_table_lookup (registry->entries, id);
 
-  if (entry == NULL)
-    return false;
-  return has_announced_leaving (entry, started_ms)
+  return entry != NULL && has_announced_leaving (entry, started_ms);
+}
+
+bool
+gs_registry_is_leaving (const GsRegistry *registry, const char *id, uint64_t started_ms)
+{
+  return gs_registry_has_announced_leaving (registry, id, started_ms)
          || gs_registry_state (registry, id, started_ms) == GS_REGISTRATION_LEAVING;
 }
 
--- a/src/gentian/core/registry.h
+++ b/src/gentian/core/registry.h
@@ -129,6 +129,10 @@
 GsRegistrationState
 gs_registry_state (const GsRegistry *registry, const char *id, uint64_t started_ms);
 
+/** RETURN VALUE: whether an answer of that incarnation of ID announced that it leaves. */
+bool
+gs_registry_has_announced_leaving (const GsRegistry *registry, const char *id, uint64_t started_ms);
+
 /** RETURN VALUE: whether the incarnation of ID that started at STARTED_MS leaves, by its
  * registration or by its announcement; the latter counts although the registration is gone. */
 bool gs_registry_is_leaving (const GsRegistry *registry, const char *id, uint64_t started_ms);
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -369,7 +369,8 @@
 {
   GsSlotResult result = make_unused_result (core, reply);
 
-  result.leaving = gs_registry_is_leaving (core->registry, reply->upstream_id, reply->started_ms);
+  result.leaving
+      = gs_registry_has_announced_leaving (core->registry, reply->upstream_id, reply->started_ms);
   result.quiet_ms = (uint32_t)((quiet_us + GS_US_PER_MS - 1) / GS_US_PER_MS);
   if (!is_local (from))
     {
@@ -628,8 +629,8 @@
                          .upstream = attempt->upstream,
                          .flow = flow,
                          .outcome = event->outcome,
-                         .leaving = gs_registry_is_leaving (core->registry, attempt->target,
-                                                            attempt->started_ms),
+                         .leaving = gs_registry_has_announced_leaving (
+                             core->registry, attempt->target, attempt->started_ms),
                          .quiet_ms = MIN (event->quiet_ms, GS_QUIET_MAX_MS),
                          .answer_us = core->now_us - attempt->started_us,
                          .bytes = event->bytes,
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -781,6 +781,56 @@
 }
 END_TEST
 
+/* Posts a registration of u0 to all daemons but EXCEPT. */
+static void
+register_u0 (Fleet *fleet, int except, uint64_t offset, bool leaving)
+{
+  GsRegistryChange change = { .offset = offset,
+                              .present = true,
+                              .registration = { .id = "u0",
+                                                .pool = "p",
+                                                .ipv4 = 9,
+                                                .port = 1,
+                                                .slots = 2,
+                                                .leaving = leaving,
+                                                .sequence = offset } };
+
+  for (int core = 0; core < DAEMONS; core++)
+    {
+      GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
+                        .registry_update.update = { .to = offset + 1,
+                                                    .store = { .available_us = INT64_MAX },
+                                                    .changes = &change,
+                                                    .n_changes = 1 } };
+      if (core != except)
+        post_event (fleet, core, &event);
+    }
+}
+
+/* Guards against an upstream that stays out of use after it registered as leaving, which some
+ * daemons read before the scheduler, and then as serving again. */
+START_TEST (upstream_that_registers_as_serving_again_gets_requests)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  const GsEffect *effect;
+  int home;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+  end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+  register_u0 (fleet, home, 40, true);
+  for (core = 0; core < DAEMONS; core++)
+    request (fleet, core, 10);
+  take_effect (fleet, GS_EFFECT_CACHED_ANSWER, NULL);
+  register_u0 (fleet, -1, 50, false);
+  request (fleet, 0, 20);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against skipping changes when updates were lost: one that starts beyond the known position
  * is not applied. */
 START_TEST (missed_registry_updates_are_pulled)
@@ -904,6 +954,7 @@
               &stopping_daemon_replaces_no_late_attempt,
               &upstream_registered_as_leaving_gets_no_requests,
               &upstream_that_announced_leaving_gets_no_requests_of_any_daemon,
+              &upstream_that_registers_as_serving_again_gets_requests,
               &daemon_returns_a_grant_for_an_upstream_that_it_knows_to_leave,
               &daemon_returns_a_grant_for_an_upstream_that_is_quiet,
               &request_is_refused_until_the_only_upstream_wants_requests,
