Renew the slot request of a daemon that is itself the scheduler

A request that waited for a slot at the pool's home itself got none after 1.5 s, and was refused only when its deadline had passed. The scheduler drops queued slot requests that were not sent again for 1.5 s, because their daemon has probably stopped; requests of the scheduler's own daemon were never sent again.

They are renewed at the period of all others now.

The new test failed before the change:

queued_request_of_the_home_itself_keeps_its_place: 'take_effect (fleet, GS_EFFECT_ATTEMPT, NULL) != NULL' failed

--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -239,12 +239,20 @@
   effect->slot_request.request = make_slot_request (core, request);
 }
 
+static void
+request_slot_here (GsCore *core, Request *request)
+{
+  GsSlotRequest slot_request = make_slot_request (core, request);
+
+  gs_scheduler_request (get_scheduler (core, request->pool), &slot_request, core->now_us);
+  deliver_replies (core, request->pool);
+}
+
 /* Requests a slot without changing the request's phase. */
 static void
 start_slot_request (GsCore *core, Request *request)
 {
   const GsMemberInfo *scheduler = pick_scheduler (core, request);
-  GsSlotRequest slot_request;
 
   set_slot_request_pending (core, request, true);
   request->slot_token = ++core->next_slot_token;
@@ -257,9 +265,7 @@
       send_slot_request (core, request, scheduler);
       return;
     }
-  slot_request = make_slot_request (core, request);
-  gs_scheduler_request (get_scheduler (core, request->pool), &slot_request, core->now_us);
-  deliver_replies (core, request->pool);
+  request_slot_here (core, request);
 }
 
 /* Requests a slot from the pool's scheduler. */
@@ -506,13 +512,18 @@
 {
   const GsMemberInfo *scheduler;
 
-  if (request->phase != REQUEST_AWAITING_SLOT || request->scheduler_hash == 0)
+  if (request->phase != REQUEST_AWAITING_SLOT)
     return;
   if (core->now_us < request->slot_reply_due_us)
     {
       resend_slot_request (core, request);
       return;
     }
+  if (request->scheduler_hash == 0)
+    {
+      request_slot_here (core, request); /* keeps its place in the queue */
+      return;
+    }
   scheduler = request->slot_request_queued ? requested_scheduler (core, request) : NULL;
   if (scheduler == NULL)
     {
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -455,6 +455,30 @@
 }
 END_TEST
 
+/* Guards against dropping a queued request without a reply: the home's own requests are not resent
+ * to it, as those of other daemons are. */
+START_TEST (queued_request_of_the_home_itself_keeps_its_place)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  uint64_t first;
+  int home;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  first = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt.attempt;
+  request (fleet, home, 2);
+  request (fleet, home, 3);
+  for (int i = 0; i < 18; i++)
+    tick (fleet, 100 * GS_US_PER_MS);
+  while (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL) != NULL)
+    ;
+  end_attempt (fleet, core, first, GS_OUTCOME_CANCELLED);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (once_only_request_that_may_have_run_is_not_retried)
 {
   static const GsOutcome outcomes[]
@@ -926,6 +950,7 @@
               &lost_slot_request_is_resent_to_the_same_home,
               &lost_slot_reply_leaks_no_slot,
               &queued_request_of_a_disconnected_caller_is_cancelled,
+              &queued_request_of_the_home_itself_keeps_its_place,
               &once_only_request_that_may_have_run_is_not_retried,
               &request_that_did_not_run_is_retried_elsewhere,
               &refused_request_is_sent_to_each_upstream_once,
