--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -69,18 +69,29 @@
 void
 request_send_cached_answer (GsCore *core, Request *request)
 {
-  core_add_effect (core, GS_EFFECT_CACHED_ANSWER)->answer = request->id;
+  core_add_effect (core, GS_EFFECT_CACHED_ANSWER)->answer.request = request->id;
   request_remove (core, request);
 }
 
-/* Rejects a request that has no running attempt, with the most severe verdict so far. If it did not
+/* RETURN VALUE: the most severe verdict of all attempts. One that has not ended may have run: a
+ * late attempt may end after the one that replaced it. */
+GsVerdict
+request_verdict (const Request *request)
+{
+  return request->n_unended > 0 ? MAX (request->worst_verdict, GS_VERDICT_MAY_HAVE_RUN)
+                                : request->worst_verdict;
+}
+
+/* Rejects a request that waits for no attempt, with the most severe verdict so far. If it did not
  * run, its permit is released first. */
 void
 request_fail (GsCore *core, Request *request, uint16_t status, const char *reason)
 {
-  if (request->worst_verdict == GS_VERDICT_NOT_RUN && permit_release (core, request, reason))
+  GsVerdict verdict = request_verdict (request);
+
+  if (verdict == GS_VERDICT_NOT_RUN && permit_release (core, request, reason))
     return;
-  request_reject (core, request, request->worst_verdict, status, reason);
+  request_reject (core, request, verdict, status, reason);
 }
 
 bool
@@ -108,6 +119,7 @@
   request->phase = REQUEST_RUNNING;
   request->attempt = attempt->id;
   request->n_attempts++;
+  request->n_unended++;
   if (request->n_tried < G_N_ELEMENTS (request->tried))
     request->tried[request->n_tried++] = target_key;
   return attempt;
@@ -572,7 +584,8 @@
 {
   if (outcome != GS_OUTCOME_UNCERTAIN)
     permit_request_answered (core, request);
-  core_add_effect (core, GS_EFFECT_ANSWER)->answer = request->id;
+  core_add_effect (core, GS_EFFECT_ANSWER)->answer
+      = (GsAnswerEffect){ .request = request->id, .earlier_verdict = request->earlier_verdict };
   core_log_event (core, GS_LOG_EVENT_ANSWERED,
                   "request=%" G_GUINT64_FORMAT
                   " id=%s pool=%s outcome=%s attempts=%u total_us=%" G_GINT64_FORMAT,
@@ -625,7 +638,6 @@
 {
   GsVerdict verdict = gs_outcome_verdict (event->outcome);
 
-  request->worst_verdict = MAX (request->worst_verdict, verdict);
   if (event->outcome == GS_OUTCOME_CANCELLED)
     request_remove (core, request);
   else if (attempt->with_permit && verdict == GS_VERDICT_NOT_RUN)
@@ -641,13 +653,26 @@
                   gs_outcome_name (event->outcome));
 }
 
+/* Counts the end of any attempt of REQUEST, also of one that another attempt has replaced. */
+static void
+record_verdict (Request *request, GsOutcome outcome)
+{
+  request->n_unended--;
+  request->earlier_verdict = request_verdict (request);
+  request->worst_verdict = MAX (request->worst_verdict, gs_outcome_verdict (outcome));
+}
+
 void
 request_answer_started (GsCore *core, uint64_t id)
 {
   Attempt *attempt = g_hash_table_lookup (core->attempts, &id);
+  Request *request = attempt != NULL ? request_find (core, attempt->request) : NULL;
 
-  if (attempt != NULL)
-    attempt->answer_started = true;
+  if (attempt == NULL)
+    return;
+  attempt->answer_started = true;
+  if (request != NULL && attempt->grant != 0)
+    scheduling_withdraw_replacement (core, request, attempt);
 }
 
 void
@@ -662,6 +687,8 @@
   g_hash_table_steal (core->attempts, &attempt->id);
   request = request_find (core, attempt->request);
   state = attempt->pool;
+  if (request != NULL)
+    record_verdict (request, event->outcome);
   if (attempt->grant != 0)
     {
       scheduling_attempt_end (core, request, attempt, event);
@@ -684,8 +711,15 @@
 {
   Request *request = request_find (core, id);
 
-  if (request == NULL || request->phase == REQUEST_RUNNING)
-    return; /* the HTTP layer ends a running attempt as cancelled */
+  if (request == NULL)
+    return;
+  if (request->phase == REQUEST_RUNNING)
+    {
+      /* The HTTP layer itself ends the attempts that it has started. */
+      GsAttemptEndEvent end = { .attempt = request->attempt, .outcome = GS_OUTCOME_CANCELLED };
+      request_attempt_end (core, &end);
+      return;
+    }
   if (request->phase == REQUEST_AWAITING_SLOT)
     scheduling_cancel_slot_request (core, request);
   if (request->phase == REQUEST_QUEUED && permit_release (core, request, "caller-left"))
@@ -715,8 +749,8 @@
         {
           scheduling_cancel_slot_request (core, request);
           request_fail (core, request,
-                        request->worst_verdict == GS_VERDICT_NOT_RUN ? STATUS_UNAVAILABLE
-                                                                     : STATUS_GATEWAY_TIMEOUT,
+                        request_verdict (request) == GS_VERDICT_NOT_RUN ? STATUS_UNAVAILABLE
+                                                                        : STATUS_GATEWAY_TIMEOUT,
                         "deadline-passed-in-queue");
           continue;
         }
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -336,7 +336,24 @@
   return address->ipv4 == 0;
 }
 
-/* Releases a slot granted to a request that no longer waits for it. */
+static bool
+is_grant_in_use (const GsCore *core, const GsSlotReply *reply)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Attempt *attempt = value;
+      if (attempt->grant == reply->grant && attempt->token == reply->token)
+        return true;
+    }
+  return false;
+}
+
+/* Releases a slot granted to a request that no longer waits for it. A reply that arrives again, as
+ * each slot request that was resent gets one, leaves the slot to the attempt that uses it. */
 static void
 return_grant (GsCore *core, const GsSlotReply *reply, const GsPeerAddress *from)
 {
@@ -346,7 +363,7 @@
                           .upstream = reply->upstream,
                           .outcome = GS_OUTCOME_CANCELLED };
 
-  if (!is_local (from))
+  if (!is_local (from) && !is_grant_in_use (core, reply))
     send_slot_result (core, 0, &result, from);
 }
 
@@ -402,7 +419,7 @@
       return;
     }
   request->retry_after_ms = retry_after_ms != 0 ? retry_after_ms : SCHEDULING_RETRY_AFTER_MS;
-  if (request->worst_verdict == GS_VERDICT_NOT_RUN)
+  if (request_verdict (request) == GS_VERDICT_NOT_RUN)
     status = SCHEDULING_STATUS_UNAVAILABLE;
   else if (request->deadline_us <= core->now_us)
     status = SCHEDULING_STATUS_TIMEOUT;
@@ -591,6 +608,26 @@
          && request->n_executions < request->max_executions && request->deadline_us > core->now_us;
 }
 
+/* Withdraws the attempt that was to replace LATE_ATTEMPT. The HTTP layer did not start it: the late
+ * one is being answered, or the caller has left. */
+void
+scheduling_withdraw_replacement (GsCore *core, Request *request, const Attempt *late_attempt)
+{
+  static const GsAttemptEndEvent end = { .outcome = GS_OUTCOME_CANCELLED };
+  Attempt *replacement = g_hash_table_lookup (core->attempts, &request->attempt);
+  GsSlotResult result;
+
+  if (replacement == NULL || replacement->id == late_attempt->id)
+    return;
+  g_hash_table_steal (core->attempts, &replacement->id);
+  request->attempt = late_attempt->id;
+  request->grant = late_attempt->grant;
+  request->n_unended--;
+  result = make_slot_result (core, replacement, &end, request->flow);
+  report_slot_result (core, replacement, &result);
+  g_free (replacement);
+}
+
 void
 scheduling_attempt_end (GsCore *core,
                         Request *request,
@@ -601,10 +638,11 @@
       = make_slot_result (core, attempt, event, request != NULL ? request->flow : 0);
 
   report_slot_result (core, attempt, &result);
+  if (request != NULL && (event->committed || event->outcome == GS_OUTCOME_CANCELLED))
+    scheduling_withdraw_replacement (core, request, attempt);
   if (request == NULL || request->attempt != attempt->id)
     return; /* superseded by a newer attempt */
   scheduling_cancel_slot_request (core, request);
-  request->worst_verdict = MAX (request->worst_verdict, gs_outcome_verdict (event->outcome));
   request->n_executions += gs_outcome_verdict (event->outcome) == GS_VERDICT_NOT_RUN ? 0 : 1;
   request->reached_upstream = request->reached_upstream || event->outcome != GS_OUTCOME_UNREACHABLE;
   request->holds_answer = event->outcome == GS_OUTCOME_ERROR;
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -27,6 +27,7 @@
   GQueue suspended; /* of GsProxyRequest, by their links */
   ev_timer caller_check;
   bool refusing; /* new requests are refused because the daemon is about to exit */
+  bool closing;  /* the server is being stopped; no connection may be suspended any more */
   uint32_t in_flight;
 };
 
@@ -43,17 +44,20 @@
   return ((EntryRequest *)(void *)request)->entry;
 }
 
-static void
+static bool
 suspend (GsProxyRequest *request)
 {
   GsEntry *entry = entry_of (request);
 
+  if (entry->closing)
+    return false;
   request->suspended = true;
   request->link.data = request;
   g_queue_push_tail_link (&entry->suspended, &request->link);
   MHD_suspend_connection (request->connection);
   if (!ev_is_active (&entry->caller_check))
     ev_timer_again (gs_engine_loop (entry->engine), &entry->caller_check);
+  return true;
 }
 
 static void
@@ -192,6 +196,17 @@
   request->lookup = gs_address_lookup_start (&options);
 }
 
+/* Names the attempt of the daemon that forwarded the request, which tells answers apart by it. */
+static void
+echo_attempt (GsProxyRequest *request)
+{
+  const char *name = request->context->header_names->attempt;
+  const char *attempt = name != NULL ? gs_request_head_get (request, name) : NULL;
+
+  if (attempt != NULL)
+    MHD_add_response_header (request->response, name, attempt);
+}
+
 /* Sends the answer, or suspends the connection until there is one. */
 static enum MHD_Result
 answer_or_suspend (GsProxyRequest *request)
@@ -201,12 +216,10 @@
   if (request->caller_disconnected)
     return MHD_NO;
   if (request->response == NULL)
-    {
-      suspend (request);
-      return MHD_YES;
-    }
+    return suspend (request) ? MHD_YES : MHD_NO;
   if (gs_engine_stopping (request->context->engine))
     MHD_add_response_header (request->response, "Connection", "close");
+  echo_attempt (request);
   if (request->engine_id != 0)
     gs_histogram_record (GS_HISTOGRAM_REQUEST, g_get_monotonic_time () - request->received_us);
   result = MHD_queue_response (request->connection, request->status, request->response);
@@ -229,12 +242,12 @@
 
   (void)data;
   (void)url;
-  (void)version;
   if (!request->head_received)
     {
       request->head_received = true;
       request->connection = connection;
       request->method = g_strdup (method);
+      request->http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       return MHD_YES;
     }
   if (*upload_length > 0)
@@ -365,6 +378,8 @@
 {
   GList *link;
 
+  entry->refusing = true;
+  entry->closing = true;
   while ((link = entry->suspended.head) != NULL)
     gs_proxy_request_caller_disconnected (link->data);
   gs_server_free (entry->server);
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -1,7 +1,9 @@
 #include "proxy_request.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../log/counter.h"
 #include "../log/histogram.h"
@@ -11,7 +13,10 @@
 enum
 {
   PROXY_REQUEST_STREAM_BLOCK_BYTES = 64 * 1024,
+  PROXY_REQUEST_STATUS_REQUEST_TIMEOUT = 408,
   PROXY_REQUEST_STATUS_MISDIRECTED = 421,
+  PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS = 429,
+  PROXY_REQUEST_STATUS_UNAVAILABLE = 503,
   PROXY_REQUEST_ERROR_BODY_BYTES_MAX = 160,
 };
 
@@ -70,6 +75,15 @@
          && gs_exchange_header (exchange, "Content-Encoding") == NULL;
 }
 
+/* Whether callers on a platform take STATUS as a promise that the request has not run. */
+static bool
+promises_not_run (long status)
+{
+  return status == PROXY_REQUEST_STATUS_REQUEST_TIMEOUT
+         || status == PROXY_REQUEST_STATUS_TOO_MANY_REQUESTS
+         || status == PROXY_REQUEST_STATUS_UNAVAILABLE;
+}
+
 /* Classifies a complete answer of an upstream that uses a platform's header names. */
 static GsOutcome
 classify_platform_answer (const GsHeaderNames *header_names, const GsExchange *exchange)
@@ -80,6 +94,8 @@
     return GS_OUTCOME_MISDIRECTED;
   if (gs_exchange_header (exchange, header_names->not_run) != NULL)
     return GS_OUTCOME_REFUSED;
+  if (promises_not_run (status))
+    return GS_OUTCOME_TRUNCATED; /* the statement that the status needs is missing */
   if (status >= 500)
     return GS_OUTCOME_ERROR;
   if (status < 300 && !is_genuine (header_names, exchange))
@@ -193,12 +209,10 @@
 
 /* Sets the header and value by which an answer names its attempt, or else its request. */
 static void
-set_echo (const GsProxyRequest *request, const GsAttemptEffect *effect, GsExchangeOptions *options)
+set_echo (const GsProxyRequest *request, GsExchangeOptions *options)
 {
   const GsHeaderNames *header_names = request->context->header_names;
 
-  if (effect->forward)
-    return;
   options->echo_header
       = header_names->attempt != NULL ? header_names->attempt : header_names->request_id;
   options->echo = header_names->attempt != NULL ? request->attempt_text : request->event.label;
@@ -222,20 +236,48 @@
   MHD_add_response_header (data, name, joined != NULL ? joined : value);
 }
 
+/* An answer that states "not run" speaks of its own attempt only. */
 static void
-send_answer (GsProxyRequest *request)
+correct_verdict (struct MHD_Response *response, GsVerdict earlier_verdict)
+{
+  const char *verdict = MHD_get_response_header (response, "Gentian-Verdict");
+
+  if (verdict == NULL || strcmp (verdict, gs_verdict_name (GS_VERDICT_NOT_RUN)) != 0)
+    return;
+  MHD_del_response_header (response, "Gentian-Verdict", verdict);
+  MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (earlier_verdict));
+}
+
+static void
+add_answer_headers (const GsProxyRequest *request,
+                    struct MHD_Response *response,
+                    GsVerdict earlier_verdict)
+{
+  gs_exchange_headers (request->exchange, add_header, response);
+  if (gs_exchange_status (request->exchange) >= 500 && request->context->header_names->verdicts
+      && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
+    MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  correct_verdict (response, earlier_verdict);
+}
+
+static void start_streaming (GsProxyRequest *request, GsVerdict earlier_verdict);
+
+static void
+send_answer (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
   size_t length;
   const void *body = gs_exchange_body (request->exchange, &length);
   long status = gs_exchange_status (request->exchange);
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response;
 
+  if (gs_exchange_state (request->exchange) == GS_EXCHANGE_STREAMING)
+    {
+      start_streaming (request, earlier_verdict); /* only a part of the body is in memory */
+      return;
+    }
+  response = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
   gs_counter_add (GS_COUNTER_ANSWERS, 1);
-  gs_exchange_headers (request->exchange, add_header, response);
-  if (status >= 500 && request->context->header_names->verdicts
-      && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
-    MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
+  add_answer_headers (request, response, earlier_verdict);
   /* Other requests may use the connection from here on. */
   g_clear_pointer (&request->exchange, gs_exchange_free);
   set_answer (request, (unsigned int)status, response);
@@ -271,6 +313,22 @@
   gs_cached_answer_clear (&answer);
 }
 
+/* Resets the caller's connection where an orderly close would be the end of a complete answer: the
+ * caller was told no length and does not know chunks. */
+static void
+reset_unframed (const GsProxyRequest *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct sockaddr none = { .sa_family = AF_UNSPEC };
+
+  if (!request->http_1_0 || gs_exchange_length (request->exchange) >= 0 || info == NULL)
+    return;
+  gs_log (GS_LOG_EVENT_CALLER_RESET, "request=%" G_GUINT64_FORMAT " upstream=%s result=%s",
+          request->engine_id, request->attempt.attempt.target,
+          connect (info->connect_fd, &none, sizeof none) == 0 ? "reset" : g_strerror (errno));
+}
+
 /* Passes on what has been received; suspends the connection until there is more. */
 static ssize_t
 read_stream (void *data, uint64_t offset, char *out, size_t max)
@@ -286,18 +344,16 @@
     return got;
   if (got == GS_EXCHANGE_READ_END)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  if (got == GS_EXCHANGE_READ_PENDING)
-    {
-      request->context->suspend (request);
-      return 0;
-    }
+  if (got == GS_EXCHANGE_READ_PENDING && request->context->suspend (request))
+    return 0;
   request->stream_failed = true;
+  reset_unframed (request);
   return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
 /* Starts to pass a large answer on while it is still received. */
 static void
-start_streaming (GsProxyRequest *request)
+start_streaming (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
   int64_t length = gs_exchange_length (request->exchange);
   GsEvent event
@@ -308,7 +364,7 @@
 
   gs_engine_post (request->context->engine, &event);
   request->streaming = true;
-  gs_exchange_headers (request->exchange, add_header, response);
+  add_answer_headers (request, response, earlier_verdict);
   set_answer (request, (unsigned int)gs_exchange_status (request->exchange), response);
 }
 
@@ -329,6 +385,37 @@
   gs_engine_post (request->context->engine, &event);
 }
 
+/* Logs the answers that are not used, and those whose end only the end of the connection tells. */
+static void
+log_answer_end (const GsProxyRequest *request)
+{
+  const GsExchange *exchange = request->exchange;
+  const char *reason = gs_exchange_discard_reason (exchange);
+  const char *framing = gs_exchange_framing (exchange);
+  bool complete = gs_exchange_state (exchange) == GS_EXCHANGE_COMPLETE;
+  const char *label = request->event.label != NULL ? request->event.label : "-";
+  size_t bytes;
+
+  gs_exchange_body (exchange, &bytes);
+  if (complete && (strcmp (framing, "close") == 0 || strcmp (framing, "unknown") == 0))
+    {
+      gs_counter_add (GS_COUNTER_ANSWERS_BY_CLOSE, 1);
+      gs_log (GS_LOG_EVENT_ANSWER_ENDED_BY_CLOSE,
+              "request=%" G_GUINT64_FORMAT " id=%s upstream=%s status=%ld framing=%s bytes=%zu",
+              request->engine_id, label, request->attempt.attempt.target,
+              gs_exchange_status (exchange), framing, bytes);
+    }
+  if (reason == NULL)
+    return;
+  gs_counter_add (GS_COUNTER_ANSWERS_DISCARDED, 1);
+  gs_log (GS_LOG_EVENT_ANSWER_DISCARDED,
+          "request=%" G_GUINT64_FORMAT " id=%s upstream=%s reason=%s status=%ld framing=%s "
+          "length=%" G_GINT64_FORMAT " bytes=%zu reused=%s",
+          request->engine_id, label, request->attempt.attempt.target, reason,
+          gs_exchange_status (exchange), framing, gs_exchange_length (exchange), bytes,
+          gs_exchange_reused_connection (exchange) ? "yes" : "no");
+}
+
 static void execute_effects (GsProxyRequest *request);
 
 static void
@@ -342,16 +429,17 @@
   request->attempt_running = false;
   if (gs_exchange_answer_us (request->exchange) > 0)
     gs_histogram_record (GS_HISTOGRAM_ATTEMPT, gs_exchange_answer_us (request->exchange));
+  log_answer_end (request);
   if (state == GS_EXCHANGE_STREAMING && classify (request, effect) == GS_OUTCOME_OK)
     {
-      start_streaming (request);
+      start_streaming (request, GS_VERDICT_NOT_RUN);
       return;
     }
   if (state != GS_EXCHANGE_FAILED)
     {
       outcome = classify (request, effect);
       report_leaving (request, effect->target);
-      if (effect->cache_answer)
+      if (effect->cache_answer && state == GS_EXCHANGE_COMPLETE)
         cache_answer (request, outcome);
     }
   report_attempt_end (request, outcome);
@@ -377,6 +465,23 @@
   gs_engine_post (request->context->engine, &event);
 }
 
+/* RETURN VALUE: whether the request may have been sent to the address before, which is noted. An
+ * answer names the request, not the attempt, where the platform's header names are used: on the
+ * same connection the answer to the first attempt could be taken for that to the second. */
+static bool
+note_address (GsProxyRequest *request, const GsAttemptEffect *effect)
+{
+  uint64_t address = (uint64_t)effect->ipv4 << 16 | effect->port;
+
+  for (uint32_t i = 0; i < request->n_addresses; i++)
+    if (request->addresses[i] == address)
+      return true;
+  if (request->n_addresses == GS_PROXY_REQUEST_ADDRESSES_MAX)
+    return true;
+  request->addresses[request->n_addresses++] = address;
+  return false;
+}
+
 static void
 start_attempt (GsProxyRequest *request)
 {
@@ -395,10 +500,11 @@
                                 .timeout_us = effect->timeout_us,
                                 .late_us = effect->late_us,
                                 .late_interval_us = PROXY_REQUEST_LATE_INTERVAL_US,
+                                .new_connection = note_address (request, effect),
                                 .class = &class,
                                 .data = request };
 
-  set_echo (request, effect, &options);
+  set_echo (request, &options);
   if (!request->context->header_names->verdicts)
     options.deadline_us = effect->deadline_us;
   g_clear_pointer (&request->exchange, gs_exchange_free);
@@ -435,7 +541,7 @@
       start_attempt (request);
       break;
     case GS_EFFECT_ANSWER:
-      send_answer (request);
+      send_answer (request, effect->answer.earlier_verdict);
       break;
     case GS_EFFECT_CACHED_ANSWER:
       send_cached_answer (request);
--- a/src/gentian/http/request_head.c
+++ b/src/gentian/http/request_head.c
@@ -128,11 +128,28 @@
   return counted.count > 1;
 }
 
+/* Whether the request line can be sent as it is. A blank or a control character would let an
+ * upstream read another request than this one. */
+static bool
+is_request_line_valid (const GsProxyRequest *request)
+{
+  for (const uint8_t *byte = (const uint8_t *)request->target; *byte != '\0'; byte++)
+    if (*byte <= ' ' || *byte == 0x7f)
+      return false;
+  for (const char *byte = request->method; *byte != '\0'; byte++)
+    if (!g_ascii_isalnum (*byte) && *byte != '-' && *byte != '_')
+      return false;
+  return *request->target == '/' && *request->method != '\0';
+}
+
 const char *
 gs_request_head_parse (GsProxyRequest *request)
 {
   const char *reason;
 
+  if (!is_request_line_valid (request))
+    return "bad-request-line";
+
   if (is_repeated (request, "Host")
       || is_repeated (request, request->context->header_names->request_id))
     return "repeated-header";
@@ -186,15 +203,21 @@
 }
 
 static void
-add_upstream_headers (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
+add_attempt_number (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
 {
-  const GsHeaderNames *header_names = request->context->header_names;
+  const char *name = request->context->header_names->attempt;
 
   g_snprintf (request->attempt_text, sizeof request->attempt_text, "%" G_GUINT64_FORMAT,
               attempt->attempt);
-  if (header_names->attempt != NULL)
-    g_ptr_array_add (headers,
-                     g_strdup_printf ("%s: %s", header_names->attempt, request->attempt_text));
+  if (name != NULL)
+    g_ptr_array_add (headers, g_strdup_printf ("%s: %s", name, request->attempt_text));
+}
+
+static void
+add_upstream_headers (GsProxyRequest *request, const GsAttemptEffect *attempt, GPtrArray *headers)
+{
+  const GsHeaderNames *header_names = request->context->header_names;
+
   if (header_names->expected_instance != NULL)
     g_ptr_array_add (headers,
                      g_strdup_printf ("%s: %s", header_names->expected_instance, attempt->target));
@@ -217,9 +240,7 @@
   (void)kind;
   if (!is_forwarded (copy->request->context->header_names, name, copy->attempt->with_permit))
     return MHD_YES;
-  g_ptr_array_add (copy->headers, value != NULL && *value != '\0'
-                                      ? g_strdup_printf ("%s: %s", passed, value)
-                                      : g_strdup_printf ("%s;", passed));
+  g_ptr_array_add (copy->headers, g_strdup_printf ("%s: %s", passed, value != NULL ? value : ""));
   return MHD_YES;
 }
 
@@ -232,11 +253,11 @@
   int64_t left_us = attempt->deadline_us - g_get_monotonic_time ();
 
   MHD_get_connection_values (request->connection, MHD_HEADER_KIND, copy_header, &copy);
-  g_ptr_array_add (headers, g_strdup ("Expect:"));
   g_ptr_array_add (headers, g_strdup_printf ("%s: %" G_GINT64_FORMAT,
                                              attempt->forward ? header_names->caller_timeout
                                                               : header_names->deadline,
                                              MAX (left_us / GS_US_PER_MS, 1)));
+  add_attempt_number (request, attempt, headers);
   if (attempt->forward)
     {
       char signature[GS_SIGNATURE_HEX + 1];
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -36,7 +36,7 @@
 
 enum
 {
-  FAIL_PERCENT,  /* share of requests that get status 500; health checks still pass */
+  FAIL_PERCENT,  /* share of requests that get status 500, also large ones; health checks pass */
   SLOW_FACTOR,   /* multiplies the service time */
   SILENT,        /* 1: never respond; 2: never respond on connections opened before this was set */
   RESET_PERCENT, /* share of requests after which the connection closes without a response */
@@ -109,6 +109,15 @@
   return send_all (fd, text, strlen (text));
 }
 
+/* Echoes the attempt that the response answers. */
+static gboolean
+answer_attempt (int fd, const Request *request, int status, const char *headers, const char *body)
+{
+  g_autofree char *all = g_strdup_printf ("%sGentian-Attempt: %s\r\n", headers, request->attempt);
+
+  return send_response (fd, status, all, body);
+}
+
 static void
 copy_header (const char *head, const char *name, char *out, size_t size)
 {
@@ -288,7 +297,7 @@
  * number of fill bytes that the path asks for.
  */
 static gboolean
-send_work_response (int fd, const Request *request)
+send_work_response (int fd, const Request *request, int status)
 {
   size_t size = 0;
   g_autofree char *line
@@ -300,15 +309,16 @@
   size_t send_limit;
 
   if (sscanf (request->path, "/size/%zu", &size) != 1
-      && sscanf (request->path, "/big/%zu", &size) != 1)
+      && sscanf (request->path, "/big/%zu", &size) != 1
+      && sscanf (request->path, "/once/big/%zu", &size) != 1)
     size = 0;
   total = strlen (line) + size;
   send_limit = fault (TRUNCATE) ? total / 2 : total;
   head = g_strdup_printf (
-      "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\nServed-By: %s\r\n"
+      "HTTP/1.1 %d X\r\nContent-Length: %zu\r\nServed-By: %s\r\n"
       "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nSet-Cookie: c=3\r\nVary: x\r\nVary: y\r\n"
       "Gentian-Attempt: %s\r\nNotes-Seen: %d\r\n\r\n",
-      total, server_id, request->attempt, request->note_headers);
+      status, total, server_id, request->attempt, request->note_headers);
   if (!send_all (fd, head, strlen (head)) || !send_all (fd, line, MIN (strlen (line), send_limit)))
     return FALSE;
   memset (block, 'a' + (int)(strlen (request->path) % 26), sizeof block);
@@ -329,7 +339,7 @@
   gboolean keep_open = TRUE;
 
   if (!acquire_slot ())
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\n", "no slot\n");
+    return answer_attempt (fd, request, 503, "Gentian-Verdict: not-run\r\n", "no slot\n");
   count_run (request);
   if (g_atomic_int_get (&stuck_requests) < fault (STUCK_SLOTS))
     {
@@ -347,10 +357,12 @@
     keep_open = FALSE;
   else if ((g_random_int_range (0, 100) < fault (FAIL_PERCENT))
            || (fault (FAIL_PREFIX) && g_str_has_prefix (request->path, "/bad")))
-    keep_open = send_response (fd, 500, "", "failed\n");
+    keep_open = strstr (request->path, "/big/") != NULL
+                    ? send_work_response (fd, request, 500)
+                    : answer_attempt (fd, request, 500, "", "failed\n");
   else
-    keep_open
-        = send_work_response (fd, request) && (!fault (TWICE) || send_work_response (fd, request));
+    keep_open = send_work_response (fd, request, 200)
+                && (!fault (TWICE) || send_work_response (fd, request, 200));
   release_slot ();
   return keep_open;
 }
@@ -371,10 +383,10 @@
   if (g_str_has_prefix (request.path, "/health"))
     return send_response (fd, 200, "", "healthy\n");
   if (fault (LEAVING))
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\nGentian-Leaving: true\r\n",
-                          "leaving\n");
+    return answer_attempt (fd, &request, 503,
+                           "Gentian-Verdict: not-run\r\nGentian-Leaving: true\r\n", "leaving\n");
   if (fault (SHED))
-    return send_response (fd, 503, "Gentian-Verdict: not-run\r\n", "shed\n");
+    return answer_attempt (fd, &request, 503, "Gentian-Verdict: not-run\r\n", "shed\n");
   if (is_silent (opened_us))
     {
       char byte;
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -469,6 +469,21 @@
 }
 END_TEST
 
+/* Guards against slots that stay in use for good: the caller has left before the HTTP layer
+ * received the attempt, which is therefore never started and never ends. */
+START_TEST (attempt_of_a_caller_that_left_before_its_start_is_cancelled)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsEvent disconnected = { .kind = GS_EVENT_CALLER_DISCONNECTED, .caller_disconnected = 1 };
+
+  ck_assert_uint_ne (fixture_request (&fixture, 1, 1), 0);
+  fixture_reduce (&fixture, &disconnected);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 0);
+  ck_assert_uint_eq (gs_pool_outstanding (gs_core_pool (fixture.core, "w", "p")), 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 /* Guards against sending requests to a leaving upstream, when a standby gets the report before it
  * serves the pool. */
 START_TEST (upstream_reports_apply_to_pools_that_are_not_served_yet)
@@ -546,6 +561,32 @@
 }
 END_TEST
 
+/* Guards against passing on a home's "not run", which it says of the attempt through it only, after
+ * an attempt through another home that may have run. */
+START_TEST (answer_tells_whether_earlier_attempts_may_have_run)
+{
+  static const GsOutcome outcomes[] = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_UNREACHABLE };
+  static const GsVerdict verdicts[] = { GS_VERDICT_MAY_HAVE_RUN, GS_VERDICT_NOT_RUN };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      Fixture fixture = fixture_new (6, GS_REPEAT_SAFE);
+      const GsEffect *answer;
+      uint64_t attempt;
+      add_members (&fixture);
+      attempt = fixture_request (&fixture, 1, 1);
+      ck_assert (fixture_find (&fixture, GS_EFFECT_ATTEMPT)->attempt.forward);
+      attempt = fixture_end_attempt (&fixture, attempt, outcomes[i]);
+      ck_assert_uint_ne (attempt, 0);
+      fixture_end_attempt (&fixture, attempt, GS_OUTCOME_OK);
+      answer = fixture_find (&fixture, GS_EFFECT_ANSWER);
+      ck_assert_ptr_nonnull (answer);
+      ck_assert_int_eq (answer->answer.earlier_verdict, verdicts[i]);
+      fixture_free (&fixture);
+    }
+}
+END_TEST
+
 /* Guards against useless messages: no other daemon serves the pool, so none needs the evidence. */
 START_TEST (only_active_home_sends_no_evidence)
 {
@@ -597,6 +638,31 @@
 }
 END_TEST
 
+/* Guards against results of slots sent as copies that may be lost: effects carried bytes of earlier
+ * ones in the fields that they do not set. */
+START_TEST (effects_carry_no_bytes_of_earlier_ones)
+{
+  Fixture fixture = fixture_new (3, GS_REPEAT_SAFE);
+  GsEvent event = { .kind = GS_EVENT_SLOT_REPLY,
+                    .slot_reply = { .from = { .ipv4 = 2, .peer_port = 90 },
+                                    .reply = { .verdict = GS_SLOT_GRANTED, .grant = 1 } } };
+
+  for (int i = 0; i < 2; i++)
+    {
+      GsEffect *returned;
+      uint8_t duplicate;
+
+      fixture_reduce (&fixture, &event);
+      returned = (GsEffect *)fixture_find (&fixture, GS_EFFECT_SLOT_RESULT);
+      ck_assert_ptr_nonnull (returned);
+      memcpy (&duplicate, &returned->slot_result.duplicate, sizeof duplicate);
+      ck_assert_uint_eq (duplicate, 0);
+      memset (&returned->slot_result, 'e', sizeof returned->slot_result);
+    }
+  fixture_free (&fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("core",
               &answer_is_passed_on,
               &an_attempt_ends_once,
@@ -621,8 +687,11 @@
               &requests_that_were_answered_after_a_crash_are_not_refused,
               &one_upstream_that_drops_connections_gets_no_request_refused,
               &request_of_a_disconnected_caller_is_dropped,
+              &attempt_of_a_caller_that_left_before_its_start_is_cancelled,
               &upstream_reports_apply_to_pools_that_are_not_served_yet,
               &safe_requests_time_out_early_at_a_frozen_home,
               &answer_of_a_home_is_not_retried_at_another,
+              &answer_tells_whether_earlier_attempts_may_have_run,
               &only_active_home_sends_no_evidence,
+              &effects_carry_no_bytes_of_earlier_ones,
               &same_seed_gives_the_same_effects)
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -1,6 +1,8 @@
 /* Unit tests of platform/decode: the platform's JSON documents, decoded to the daemon's types. */
 #include "fixture.h"
 
+#include <pthread.h>
+
 #include "../../platform/decode.h"
 
 static const char tables_text[]
@@ -95,6 +97,18 @@
 }
 END_TEST
 
+static void
+assert_refused (const char *text)
+{
+  g_autoptr (GError) error = NULL;
+  GsRegistration row;
+
+  ck_assert_msg (!platform_decode_registration ("i-1", text, strlen (text), &row, &error), "%s",
+                 text);
+  ck_assert_ptr_nonnull (error);
+  ck_assert_str_eq (row.id, "i-1");
+}
+
 /* The id must be decoded even so, because an invalid registration ends the server's valid one. */
 START_TEST (invalid_registrations_are_refused)
 {
@@ -119,6 +133,194 @@
 }
 END_TEST
 
+/* Callers would be sent to a server that nobody registered. The id is decoded even so, as above. */
+START_TEST (registration_with_an_odd_value_is_refused)
+{
+  static const char *const fields[][2]
+      = { { "\"Service\":", "\"s\"" },   { "\"Address\":", "\"10.1.2.3:8080\"" },
+          { "\"Zone\":", "\"z\"" },      { "\"Slots\":", "4" },
+          { "\"State\":", "\"ready\"" }, { "\"WarmupLeft\":", "\"250ms\"" },
+          { "\"Seq\":", "4" },           { "\"born\":", "17" } };
+  static const char *const values[] = { "null",
+                                        "true",
+                                        "[]",
+                                        "{}",
+                                        "\"\"",
+                                        "-1",
+                                        "1.5",
+                                        "-1.5",
+                                        "1e999",
+                                        "-1e999",
+                                        "1E400",
+                                        "NaN",
+                                        "Infinity",
+                                        "9007199254740992",
+                                        "9223372036854775807",
+                                        "9223372036854775808",
+                                        "-9223372036854775809",
+                                        "18446744073709551616",
+                                        "99999999999999999999999999",
+                                        "\"a\\u0000b\"",
+                                        "\"\\ud800\"",
+                                        "\"\377\"",
+                                        "\"a\\nb\"",
+                                        "\"a\\u007fb\"",
+                                        "\"a\nb\"",
+                                        "0x10",
+                                        "+1",
+                                        "01",
+                                        "1,\"State\":\"asleep\"",
+                                        "" };
+  static const char *const others[][2]
+      = { { "8080", "0" },
+          { "8080", "65536" },
+          { "8080", "99999" },
+          { "8080", "-1" },
+          { "8080", "+80" },
+          { "8080", " 80" },
+          { "8080", "80 " },
+          { "8080", "" },
+          { "8080", "0x50" },
+          { "8080", "80:80" },
+          { "8080", "18446744073709551696" },
+          { "8080", "80\\u0000" },
+          { "10.1.2.3", "" },
+          { "10.1.2.3", "::1" },
+          { "10.1.2.3", "[::1]" },
+          { "10.1.2.3", "10.1.2" },
+          { "10.1.2.3", "10.1.2.3.4" },
+          { "10.1.2.3", "10.1.2.256" },
+          { "10.1.2.3", " 10.1.2.3" },
+          { "10.1.2.3", "0.0.0.0" },
+          { "10.1.2.3", "224.0.0.1" },
+          { "10.1.2.3", "255.255.255.255" },
+          { ":8080", "" },
+          { "\"Slots\":4", "\"Slots\":0" },
+          { "\"Slots\":4", "\"Slots\":\"4\"" },
+          { "\"Slots\":4", "\"Slots\":4097" },
+          { "\"Slots\":4", "\"Slots\":65540" },
+          { "\"Slots\":4", "\"Slots\":2147483648" },
+          { "\"Slots\":4", "\"Slots\":4.0" },
+          { "250ms", "1e999ms" },
+          { "250ms", "infs" },
+          { "250ms", "nans" },
+          { "250ms", "-250ms" },
+          { "250ms", "+250ms" },
+          { "250ms", " 250ms" },
+          { "250ms", "250 ms" },
+          { "250ms", "0x10ms" },
+          { "250ms", "9999999999s" },
+          { "\"Seq\":4", "\"Seq\":4,\"Seq\":5" },
+          { "\"State\":\"ready\"", "\"State\":\"draining\",\"State\":\"ready\"" },
+          { "\"born\":17}", "\"born\":17" },
+          { "\"born\":17}", "\"born\":17}}" },
+          { "\"born\":17}", "\"born\":17}{}" },
+          { "\"born\":17", "\"born\":253402300800000" },
+          { "{\"Service", "\377{\"Service" },
+          { "{\"Service", "{\"\\u0000\":1,\"Service" } };
+
+  for (size_t field = 0; field < G_N_ELEMENTS (fields); field++)
+    for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+      {
+        g_autofree char *old = g_strconcat (fields[field][0], fields[field][1], NULL);
+        g_autofree char *new = g_strconcat (fields[field][0], values[i], NULL);
+        g_autofree char *text = replace_first (heartbeat, old, new);
+        assert_refused (text);
+      }
+  for (size_t i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      g_autofree char *text = replace_first (heartbeat, others[i][0], others[i][1]);
+      assert_refused (text);
+    }
+}
+END_TEST
+
+enum
+{
+  NESTED_STACK_BYTES = 256 * 1024,
+  LARGE_VALUE_BYTES = 1024 * 1024,
+};
+
+/* RETURN VALUE: a newly allocated text of DEPTH nested lists, or of as many nested objects. */
+static char *
+nested (const char *open, const char *close, int depth)
+{
+  GString *text = g_string_new (NULL);
+
+  for (int i = 0; i < depth; i++)
+    g_string_append (text, open);
+  g_string_append_c (text, '1');
+  for (int i = 0; i < depth; i++)
+    g_string_append (text, close);
+  return g_string_free (text, FALSE);
+}
+
+/* Decodes a registration and tables in which VALUE stands instead of a known field, and in an
+ * unknown one. */
+static void
+decode_with (const char *value, bool valid_when_unknown)
+{
+  g_autofree char *known = g_strconcat ("\"Slots\":", value, NULL);
+  g_autofree char *unknown = g_strconcat ("{\"Unknown\":", value, ",\"Service\"", NULL);
+  g_autofree char *with_known = replace_first (heartbeat, "\"Slots\":4", known);
+  g_autofree char *with_unknown = replace_first (heartbeat, "{\"Service\"", unknown);
+  g_autofree char *routes = g_strconcat ("\"Routes\":", value, ",\"New\":[", NULL);
+  g_autofree char *tables = replace_first (tables_text, "\"Routes\":[", routes);
+  g_autoptr (GError) error = NULL;
+  GsRegistration row;
+
+  assert_refused (with_known);
+  assert_refused (value);
+  ck_assert_int_eq (
+      platform_decode_registration ("i-1", with_unknown, strlen (with_unknown), &row, &error),
+      valid_when_unknown);
+  ck_assert_ptr_null (parse_tables (tables, NULL));
+  ck_assert_ptr_null (parse_tables (value, NULL));
+}
+
+static void *
+decode_nested (void *data)
+{
+  static const int depths[] = { 1, 2, 31, 32, 100, 1000, 2040, 2047, 2048, 2049, 10000, 100000 };
+
+  (void)data;
+  for (size_t i = 0; i < G_N_ELEMENTS (depths); i++)
+    {
+      g_autofree char *lists = nested ("[", "]", depths[i]);
+      g_autofree char *objects = nested ("{\"k\":", "}", depths[i]);
+      g_autofree char *unclosed = nested ("[", "", depths[i]);
+      decode_with (lists, depths[i] < 32);
+      decode_with (objects, depths[i] < 32);
+      decode_with (unclosed, false);
+    }
+  return NULL;
+}
+
+/* A decoder that recurses ends the daemon when its stack does not suffice. */
+START_TEST (deeply_nested_documents_are_refused)
+{
+  pthread_attr_t attributes;
+  pthread_t thread;
+
+  pthread_attr_init (&attributes);
+  ck_assert_int_eq (pthread_attr_setstacksize (&attributes, NESTED_STACK_BYTES), 0);
+  ck_assert_int_eq (pthread_create (&thread, &attributes, decode_nested, NULL), 0);
+  pthread_join (thread, NULL);
+  pthread_attr_destroy (&attributes);
+}
+END_TEST
+
+START_TEST (large_values_are_decoded_or_refused)
+{
+  g_autofree char *letters = g_strnfill (LARGE_VALUE_BYTES, 'a');
+  g_autofree char *digits = g_strnfill (LARGE_VALUE_BYTES, '1');
+  g_autofree char *text = g_strconcat ("\"", letters, "\"", NULL);
+
+  decode_with (text, true);
+  decode_with (digits, false);
+}
+END_TEST
+
 START_TEST (durations_need_a_unit)
 {
   uint32_t ms;
@@ -138,4 +340,7 @@
               &tables_with_one_invalid_value_are_refused,
               &registrations_are_decoded,
               &invalid_registrations_are_refused,
+              &registration_with_an_odd_value_is_refused,
+              &deeply_nested_documents_are_refused,
+              &large_values_are_decoded_or_refused,
               &durations_need_a_unit)
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -16,6 +16,8 @@
   int64_t now_us;
   GsEffectKind dropped_kind; /* messages of this kind are lost while `dropping` */
   bool dropping;
+  GsEffectKind repeated_kind; /* messages of this kind arrive twice while `repeating` */
+  bool repeating;
 } Fleet;
 
 typedef struct
@@ -93,7 +95,10 @@
                && !(fleet->dropping && effect->kind == fleet->dropped_kind))
         {
           GsEvent next = event_from_effect (fleet, core, effect);
+          GsEvent repeated = next;
           post_event (fleet, to, &next);
+          if (fleet->repeating && effect->kind == fleet->repeated_kind)
+            post_event (fleet, to, &repeated);
         }
     }
   gs_effects_free (effects);
@@ -195,6 +200,28 @@
     }
 }
 
+/* Posts to all daemons that the upstream u0, at the address that it had, has started again. */
+static void
+restart_upstream (Fleet *fleet, uint64_t position)
+{
+  GsRegistryChange change
+      = { .offset = position,
+          .present = true,
+          .registration
+          = { .id = "u0", .pool = "p", .ipv4 = 9, .port = 1, .slots = 2, .started_ms = 5 } };
+
+  for (int core = 0; core < DAEMONS; core++)
+    {
+      GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
+                        .registry_update.update = { .to = position + 1,
+                                                    .complete = true,
+                                                    .store = { .available_us = INT64_MAX },
+                                                    .changes = &change,
+                                                    .n_changes = 1 } };
+      post_event (fleet, core, &event);
+    }
+}
+
 static Fleet *
 fleet_new (GsRepeat repeat, uint16_t upstreams)
 {
@@ -473,6 +500,81 @@
 }
 END_TEST
 
+/* Guards against sending a request to an upstream that refused it before: if the upstream repeats
+ * its refusal, that would be taken for the answer to the new attempt. */
+START_TEST (refused_request_is_sent_to_each_upstream_once)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 8);
+  uint32_t ports = 0;
+  int attempts = 0;
+  GsEffect *effect;
+
+  for (uint64_t id = 2; id <= 40; id++) /* earns a budget for retries */
+    {
+      request (fleet, 0, id);
+      effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+      end_attempt (fleet, 0, effect->attempt.attempt, GS_OUTCOME_OK);
+    }
+  request (fleet, 0, 1);
+  while ((effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)) != NULL)
+    {
+      ck_assert_uint_eq (ports & (1U << effect->attempt.port), 0);
+      ports |= 1U << effect->attempt.port;
+      attempts++;
+      end_attempt (fleet, 0, effect->attempt.attempt, GS_OUTCOME_REFUSED);
+    }
+  ck_assert_int_eq (attempts, 5);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Shows that an address may get a request twice: an upstream that has started again is another one
+ * to the scheduler. The HTTP layer must not use a connection of the earlier attempt. */
+START_TEST (upstream_that_started_again_may_get_a_request_that_it_refused)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  GsEffect *effect;
+  uint16_t port;
+  uint64_t attempt;
+
+  request (fleet, 0, 1);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+  port = effect->attempt.port;
+  attempt = effect->attempt.attempt;
+  restart_upstream (fleet, 20);
+  end_attempt (fleet, 0, attempt, GS_OUTCOME_REFUSED);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_uint_eq (effect->attempt.port, port);
+  ck_assert_uint_ne (effect->attempt.attempt, attempt);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against freeing a slot in use when the network or a resent slot request repeats its
+ * grant. */
+START_TEST (repeated_slot_reply_releases_no_slot)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  int home;
+  GsEffect *effect;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, &core);
+  end_attempt (fleet, core, effect->attempt.attempt, GS_OUTCOME_OK);
+  fleet->repeated_kind = GS_EFFECT_SLOT_REPLY;
+  fleet->repeating = true;
+  core = (home + 1) % DAEMONS;
+  request (fleet, core, 2);
+  fleet->repeating = false;
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  ck_assert_uint_eq (outstanding (fleet), 1);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against replacing an error answer of the upstream by one of the daemon. */
 START_TEST (error_answer_is_passed_on_when_no_retry_is_possible)
 {
@@ -515,6 +617,111 @@
 }
 END_TEST
 
+/* Sends a safe request to daemon 0 of a fleet with two upstreams and replaces its late attempt.
+ * RETURN VALUE: the late attempt; the next number is its replacement. */
+static uint64_t
+replace_late_attempt (Fleet *fleet)
+{
+  GsEvent late = { .kind = GS_EVENT_ATTEMPT_LATE };
+
+  request (fleet, 0, 1);
+  late.attempt_late = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.attempt;
+  post_event (fleet, 0, &late);
+  ck_assert_uint_eq (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.attempt,
+                     late.attempt_late + 1);
+  return late.attempt_late;
+}
+
+/* Guards against a promise of "not run" for a request that an upstream was running: its late
+ * attempt was sent, then replaced by one that could not connect. */
+START_TEST (replaced_attempt_that_may_have_run_counts_towards_the_verdict)
+{
+  static const GsOutcome outcomes[]
+      = { GS_OUTCOME_TIMEOUT, GS_OUTCOME_SILENT, GS_OUTCOME_CLOSED, GS_OUTCOME_ERROR };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+      uint64_t late = replace_late_attempt (fleet);
+      GsEffect *effect;
+      end_attempt (fleet, 0, late, outcomes[i]);
+      end_attempt (fleet, 0, late + 1, GS_OUTCOME_UNREACHABLE);
+      effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+      ck_assert_ptr_nonnull (effect);
+      ck_assert_int_ne (effect->reject.verdict, GS_VERDICT_NOT_RUN);
+      ck_assert_uint_ne (effect->reject.status, 503);
+      fleet_free (fleet);
+    }
+}
+END_TEST
+
+/* Guards against the same promise while the end of the replaced attempt is not known yet. */
+START_TEST (replaced_attempt_without_an_end_may_have_run)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEffect *effect;
+
+  end_attempt (fleet, 0, late + 1, GS_OUTCOME_REFUSED);
+  effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_int_eq (effect->reject.verdict, GS_VERDICT_MAY_HAVE_RUN);
+  ck_assert_uint_ne (effect->reject.status, 503);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against withholding "not run" from a caller whose replaced attempt was never sent. */
+START_TEST (replaced_attempt_that_did_not_connect_has_not_run)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEffect *effect;
+
+  end_attempt (fleet, 0, late, GS_OUTCOME_UNREACHABLE);
+  end_attempt (fleet, 0, late + 1, GS_OUTCOME_UNREACHABLE);
+  effect = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (effect);
+  ck_assert_int_eq (effect->reject.verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (effect->reject.status, 503);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against requests and slots that are left over: the caller has left before the HTTP layer
+ * received the replacement, which is therefore never started and never ends. */
+START_TEST (replacement_of_a_caller_that_left_is_cancelled)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+
+  end_attempt (fleet, 0, late, GS_OUTCOME_CANCELLED);
+  ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 0);
+  ck_assert_uint_eq (outstanding (fleet), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against the same leftovers when the late attempt's answer was being sent to the caller
+ * before the HTTP layer received the replacement. */
+START_TEST (late_attempt_that_is_being_answered_is_not_replaced)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  uint64_t late = replace_late_attempt (fleet);
+  GsEvent started = { .kind = GS_EVENT_ANSWER_STARTED, .answer_started = late };
+  GsEvent end = { .kind = GS_EVENT_ATTEMPT_END,
+                  .attempt_end = { .attempt = late, .outcome = GS_OUTCOME_OK, .committed = true } };
+
+  post_event (fleet, 0, &started);
+  ck_assert_uint_eq (outstanding (fleet), 1);
+  post_event (fleet, 0, &end);
+  ck_assert_ptr_nonnull (take_effect (fleet, GS_EFFECT_ANSWER, NULL));
+  ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 0);
+  ck_assert_uint_eq (outstanding (fleet), 0);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* Guards against replacing attempts of long requests, which take as long at any upstream: while its
  * upstream answers other requests, a late attempt continues. */
 START_TEST (late_attempt_at_a_healthy_upstream_continues)
@@ -721,8 +928,16 @@
               &queued_request_of_a_disconnected_caller_is_cancelled,
               &once_only_request_that_may_have_run_is_not_retried,
               &request_that_did_not_run_is_retried_elsewhere,
+              &refused_request_is_sent_to_each_upstream_once,
+              &upstream_that_started_again_may_get_a_request_that_it_refused,
+              &repeated_slot_reply_releases_no_slot,
               &error_answer_is_passed_on_when_no_retry_is_possible,
               &late_attempt_continues_until_its_replacement_is_granted,
+              &replaced_attempt_that_may_have_run_counts_towards_the_verdict,
+              &replaced_attempt_without_an_end_may_have_run,
+              &replaced_attempt_that_did_not_connect_has_not_run,
+              &replacement_of_a_caller_that_left_is_cancelled,
+              &late_attempt_that_is_being_answered_is_not_replaced,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
               &upstream_registered_as_leaving_gets_no_requests,
