--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1569,7 +1569,7 @@
 /* Plays an answer that breaks off after each number of bytes of its body and is then sent once
  * more, whole: the stated length is reached with bytes of the second one's head. */
 static void
-play_broken_off_and_repeated (Bench *bench, bool kept, Tally *tally)
+play_broken_off_and_repeated (Loopback *loopback, bool kept, Tally *tally)
 {
   g_autofree char *body = g_strnfill (REPEATED_BODY_BYTES, 'b');
   g_autofree char *head = g_strdup_printf (OK_HEAD ("Content-Length: %d\r\n"), REPEATED_BODY_BYTES);
@@ -1584,12 +1584,12 @@
                     .kept = kept,
                     .ending = ENDING_OPEN };
       Call call;
-      GsExchangeState state = bench_play (bench, &call, &play);
+      GsExchangeState state = loopback_play (loopback, &call, &play);
 
-      tally_state (tally, bench, &play, "broken off and repeated", state,
+      tally_state (tally, loopback, &play, "broken off and repeated", state,
                    state != GS_EXCHANGE_COMPLETE);
       call_end (&call);
-      bench_close_connections (bench);
+      loopback_close_connections (loopback);
     }
 }
 
@@ -1600,11 +1600,11 @@
 
   for (Mode mode = 0; mode < N_MODES; mode++)
     {
-      Bench *bench = bench_new (mode);
+      Loopback *loopback = loopback_new (mode);
 
-      play_broken_off_and_repeated (bench, false, &tally);
-      play_broken_off_and_repeated (bench, true, &tally);
-      bench_free (bench);
+      play_broken_off_and_repeated (loopback, false, &tally);
+      play_broken_off_and_repeated (loopback, true, &tally);
+      loopback_free (loopback);
     }
   tally_assert (&tally, "answers completed with bytes of another one");
 }
@@ -1618,25 +1618,25 @@
 
   for (Mode mode = 0; mode < N_MODES; mode++)
     {
-      Bench *bench = bench_new (mode);
+      Loopback *loopback = loopback_new (mode);
       GsExchangeOptions options = { .method = "GET", .echo = OWN_ECHO };
-      uint32_t serial = bench_complete_request (bench, OWN_ECHO)->serial;
+      uint32_t serial = loopback_complete_request (loopback, OWN_ECHO)->serial;
       Connection *connection;
       Call call;
 
-      call_start (bench, &call, &options);
-      connection = call_wait_for_request (bench, &call);
+      call_start (loopback, &call, &options);
+      connection = call_wait_for_request (loopback, &call);
       ck_assert_ptr_nonnull (connection);
       if (connection->serial == serial)
         {
           connection_send (connection, copy, strlen (copy));
-          connection_settle (bench, connection, &call);
+          connection_settle (loopback, connection, &call);
         }
       tally_check (&tally, gs_exchange_state (call.exchange) != GS_EXCHANGE_COMPLETE,
                    "%s mode: state %s", mode_names[mode],
                    state_name (gs_exchange_state (call.exchange)));
       call_end (&call);
-      bench_free (bench);
+      loopback_free (loopback);
     }
   tally_assert (&tally, "copies of earlier answers taken as complete");
 }
@@ -1650,16 +1650,16 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (timeouts); i++)
     {
-      Bench *bench = bench_new (MODE_PLATFORM);
+      Loopback *loopback = loopback_new (MODE_PLATFORM);
       g_autofree char *wire
           = g_strdup_printf (OK_HEAD ("Keep-Alive: timeout=%s\r\n" LENGTH ("2")) "ok", timeouts[i]);
       Play play
           = { .method = "GET", .bytes = wire, .length = strlen (wire), .ending = ENDING_OPEN };
       Call call;
 
-      ck_assert_int_eq (bench_play (bench, &call, &play), GS_EXCHANGE_COMPLETE);
+      ck_assert_int_eq (loopback_play (loopback, &call, &play), GS_EXCHANGE_COMPLETE);
       call_end (&call);
-      bench_free (bench);
+      loopback_free (loopback);
     }
 }
 END_TEST
@@ -1688,7 +1688,7 @@
   g_autofree char *body = g_strnfill (UPLOAD_BYTES, 'u');
   size_t head_length;
   g_autoptr (GString) wire = large_wire (&forms[3], &head_length);
-  Bench *bench = bench_new (MODE_PLATFORM);
+  Loopback *loopback = loopback_new (MODE_PLATFORM);
   GsExchangeOptions options
       = { .method = "POST", .echo = OWN_ECHO, .body = body, .body_length = UPLOAD_BYTES };
   LargeRead result = { .end = GS_EXCHANGE_READ_PENDING, .intact = true };
@@ -1698,21 +1698,21 @@
   Call call;
 
   ck_assert_str_eq (forms[3].name, "until close");
-  call_start (bench, &call, &options);
-  connection = call_wait_for_request (bench, &call);
+  call_start (loopback, &call, &options);
+  connection = call_wait_for_request (loopback, &call);
   ck_assert_ptr_nonnull (connection);
   while (!call.done)
     {
       ssize_t sent = send (connection->fd, wire->str + connection->sent_bytes,
                            wire->len - connection->sent_bytes, MSG_NOSIGNAL);
       connection->sent_bytes += (size_t)MAX (sent, 0);
-      ev_run (bench->loop, EVRUN_NOWAIT);
+      ev_run (loopback->loop, EVRUN_NOWAIT);
     }
   ck_assert_int_eq (gs_exchange_state (call.exchange), GS_EXCHANGE_STREAMING);
   while (result.end == GS_EXCHANGE_READ_PENDING)
     {
       is_same = connection_compare (connection, body, &n_received) && is_same;
-      ev_run (bench->loop, EVRUN_NOWAIT);
+      ev_run (loopback->loop, EVRUN_NOWAIT);
       if (connection->sent_bytes < wire->len)
         connection->sent_bytes
             += (size_t)MAX (send (connection->fd, wire->str + connection->sent_bytes,
@@ -1728,7 +1728,7 @@
                  "the answer is not whole: found end %zd after %zu bytes, expected %d after %zu",
                  result.end, result.length, GS_EXCHANGE_READ_END, wire->len - head_length);
   call_end (&call);
-  bench_free (bench);
+  loopback_free (loopback);
 }
 END_TEST
 
