--- a/src/gentian/http/client.c
+++ b/src/gentian/http/client.c
@@ -29,6 +29,8 @@
 {
   if (connection->socket >= 0)
     close (connection->socket);
+  if (connection->names != NULL)
+    g_array_unref (connection->names);
   g_free (connection);
 }
 
@@ -124,16 +126,39 @@
          && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void
+gs_connection_add_name (GsConnection *connection, uint64_t name)
+{
+  if (connection->names == NULL)
+    connection->names = g_array_new (FALSE, FALSE, sizeof name);
+  g_array_append_val (connection->names, name);
+}
+
+static bool
+has_name (const GsConnection *connection, uint64_t name)
+{
+  for (guint i = 0; connection->names != NULL && i < connection->names->len; i++)
+    if (g_array_index (connection->names, uint64_t, i) == name)
+      return true;
+  return false;
+}
+
 GsConnection *
-gs_client_acquire (GsClient *client, uint32_t ipv4, uint16_t port)
+gs_client_acquire (GsClient *client, uint32_t ipv4, uint16_t port, uint64_t name)
 {
   int64_t key = address_key (ipv4, port);
   GQueue *queue = g_hash_table_lookup (client->idle, &key);
-  GsConnection *connection;
+  int64_t now_us = g_get_monotonic_time ();
+  GList *next;
 
-  while (queue != NULL && (connection = g_queue_pop_head (queue)) != NULL)
+  for (GList *link = queue != NULL ? queue->head : NULL; link != NULL; link = next)
     {
-      if (g_get_monotonic_time () < connection->idle_until_us && is_reusable (connection))
+      GsConnection *connection = link->data;
+      next = link->next;
+      if (has_name (connection, name))
+        continue;
+      g_queue_delete_link (queue, link);
+      if (now_us < connection->idle_until_us && is_reusable (connection))
         return connection;
       gs_connection_free (connection);
     }
@@ -146,7 +171,8 @@
   int64_t key = address_key (ipv4, port);
   GQueue *queue = g_hash_table_lookup (client->idle, &key);
 
-  if (queue != NULL && g_queue_get_length (queue) >= client->options.max_idle)
+  if ((queue != NULL && g_queue_get_length (queue) >= client->options.max_idle)
+      || (connection->names != NULL && connection->names->len >= GS_CONNECTION_REQUESTS_MAX))
     {
       gs_connection_free (connection);
       return;
--- a/src/gentian/http/client.h
+++ b/src/gentian/http/client.h
@@ -5,15 +5,22 @@
  * DESCRIPTION
  *   Connections are non-blocking TCP sockets. One is kept only after an exchange that ended with a
  * proven end of its answer, and is closed before its server may close it. A connection that has
- * received anything while it was idle is never used again. Not thread-safe.
+ * received anything while it was idle is never used again, and none carries more than
+ * GS_CONNECTION_REQUESTS_MAX requests. Not thread-safe.
  */
 #ifndef GS_CLIENT_H
 #define GS_CLIENT_H
 
 #include <ev.h>
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
+enum
+{
+  GS_CONNECTION_REQUESTS_MAX = 256,
+};
+
 typedef struct GsClient GsClient;
 
 /** Construction options. */
@@ -33,6 +40,7 @@
   int socket;            /**< -1: not opened */
   bool reused;           /**< it has carried an exchange before */
   bool had_head_request; /**< one of these was a HEAD request */
+  GArray *names;         /**< of uint64_t: hashes of what its requests were named; NULL: none */
   int64_t idle_until_us; /**< monotonic time until which it may be reused */
 } GsConnection;
 
@@ -41,8 +49,13 @@
 
 const GsClientOptions *gs_client_options (const GsClient *client);
 
-/** RETURN VALUE: the last used idle connection to the address, or a new one that is not opened. */
-GsConnection *gs_client_acquire (GsClient *client, uint32_t ipv4, uint16_t port);
+/** RETURN VALUE: the last used idle connection to the address that has carried no request of the
+ * same NAME, or a new one that is not opened. A copy of the answer to such a request could come
+ * late. */
+GsConnection *gs_client_acquire (GsClient *client, uint32_t ipv4, uint16_t port, uint64_t name);
+
+/** Notes that CONNECTION has carried a request with this hash of its name. */
+void gs_connection_add_name (GsConnection *connection, uint64_t name);
 
 /** RETURN VALUE: a new connection that is not opened. */
 GsConnection *gs_connection_new (void);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -16,6 +16,7 @@
 {
   EXCHANGE_HEAD_BYTES = 1024,         /* reserved for the head of a request */
   EXCHANGE_READ_BYTES = 16 * 1024,    /* read from a socket at once */
+  EXCHANGE_IDLE_MAX_S = 3600,         /* idle timeout of a server that states a longer one */
   EXCHANGE_SKIPPED_MAX = 4,           /* answers to earlier requests on one connection */
   EXCHANGE_SKIPPED_BYTES_MAX = 65536, /* of the body of one of them */
   EXCHANGE_READS_MAX = 16,            /* before the loop handles other events */
@@ -23,6 +24,9 @@
   EXCHANGE_TIMER_MIN_US = 500,        /* shortest delay for which the limit timer is armed */
 };
 
+/** Beginning of an answer. */
+#define STATUS_LINE "HTTP/1."
+
 /** Delay of the crash check: time for a crashing process to close its listening socket. */
 #define EXCHANGE_CRASH_CHECK_DELAY_S 0.01
 /** Timeout of the crash check's connection attempt. */
@@ -149,7 +153,9 @@
   int64_t idle_ms = gs_client_options (exchange->client)->idle_ms;
 
   if (timeout != NULL)
-    idle_ms = (int64_t)g_ascii_strtoull (timeout + strlen ("timeout="), NULL, 10) * 1000;
+    idle_ms = (int64_t)MIN (g_ascii_strtoull (timeout + strlen ("timeout="), NULL, 10),
+                            EXCHANGE_IDLE_MAX_S)
+              * 1000;
   else if (idle_ms == 0)
     return INT64_MAX;
   return g_get_monotonic_time () + idle_ms * GS_US_PER_MS * 4 / 5;
@@ -377,10 +383,9 @@
 end_skipped_answer (GsExchange *exchange)
 {
   GsAnswerParserOptions options = { .head_request = exchange->is_head_request };
-  static const char status_line[] = "HTTP/1.";
 
   if (exchange->buffer->len > 0
-      && memmem (exchange->buffer->data, exchange->buffer->len, status_line, strlen (status_line))
+      && memmem (exchange->buffer->data, exchange->buffer->len, STATUS_LINE, strlen (STATUS_LINE))
              != NULL)
     {
       discard_answer (exchange, "not-own");
@@ -395,6 +400,36 @@
   exchange->parser = gs_answer_parser_new (&options);
 }
 
+/* Whether the body of the own answer contains the beginning of an answer that names this request
+ * too: the server broke the first one off and sent it again. SURPLUS are the bytes behind it. */
+static bool
+is_sent_again_inside (const GsExchange *exchange, const uint8_t *surplus, size_t length)
+{
+  g_autoptr (GByteArray) bytes = NULL;
+  const uint8_t *body = exchange->buffer->data;
+  const uint8_t *at = body;
+  const uint8_t *end;
+
+  if (exchange->echo == NULL || exchange->buffer->len == 0)
+    return false;
+  if (length > 0)
+    {
+      bytes = g_byte_array_sized_new (exchange->buffer->len + (guint)length);
+      g_byte_array_append (bytes, exchange->buffer->data, exchange->buffer->len);
+      g_byte_array_append (bytes, surplus, (guint)length);
+      body = at = bytes->data;
+    }
+  end = body + exchange->buffer->len + length;
+  while ((at = memmem (at, (size_t)(end - at), STATUS_LINE, strlen (STATUS_LINE))) != NULL
+         && at < body + exchange->buffer->len)
+    {
+      if (memmem (at, (size_t)(end - at), exchange->echo, strlen (exchange->echo)) != NULL)
+        return true;
+      at++;
+    }
+  return false;
+}
+
 /* Handles the bytes of one answer. RETURN VALUE: number of bytes that belong to it. */
 static size_t
 receive_part (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
@@ -433,6 +468,11 @@
           continue;
         }
       exchange->surplus = length > 0;
+      if (is_sent_again_inside (exchange, bytes, length))
+        {
+          discard_answer (exchange, "joined-answers");
+          return;
+        }
       exchange->finished = true;
       exchange->complete = true;
     }
@@ -520,7 +560,6 @@
     exchange->state = exchange->complete ? GS_EXCHANGE_COMPLETE : GS_EXCHANGE_FAILED;
   else
     exchange->state = GS_EXCHANGE_STREAMING; /* the owner reads the rest */
-  exchange->options.body = NULL;
   exchange->options.class->done (exchange->options.data);
 }
 
@@ -724,9 +763,10 @@
   exchange->head = make_head (options);
   exchange->parser = gs_answer_parser_new (&parser);
   exchange->buffer = g_byte_array_new ();
-  exchange->connection = options->new_connection
+  exchange->connection = options->new_connection || exchange->echo == NULL
                              ? gs_connection_new ()
-                             : gs_client_acquire (client, options->ipv4, options->port);
+                             : gs_client_acquire (client, options->ipv4, options->port,
+                                                  gs_hash_name (exchange->echo));
   exchange->reused_connection = exchange->connection->reused;
   init_watchers (exchange);
   exchange->options.headers = NULL;
@@ -779,6 +819,7 @@
     }
   connection->idle_until_us = idle_deadline_us (exchange);
   connection->had_head_request = connection->had_head_request || exchange->is_head_request;
+  gs_connection_add_name (connection, gs_hash_name (exchange->echo));
   gs_client_keep (exchange->client, exchange->options.ipv4, exchange->options.port, connection);
 }
 
--- a/src/gentian/http/exchange.h
+++ b/src/gentian/http/exchange.h
@@ -52,7 +52,7 @@
   void (*late) (void *data);
 } GsExchangeClass;
 
-/** Request of an exchange. The body must live until it is done; the rest is copied. */
+/** Request of an exchange. The body must live as long as the exchange; the rest is copied. */
 typedef struct
 {
   uint32_t ipv4; /**< host byte order */
--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1687,7 +1687,7 @@
 {
   g_autofree char *body = g_strnfill (UPLOAD_BYTES, 'u');
   size_t head_length;
-  g_autoptr (GString) wire = large_wire (&forms[3], &head_length);
+  g_autoptr (GString) wire = large_wire (&forms[3], "200 OK", &head_length);
   Loopback *loopback = loopback_new (MODE_PLATFORM);
   GsExchangeOptions options
       = { .method = "POST", .echo = OWN_ECHO, .body = body, .body_length = UPLOAD_BYTES };
