Test statuses that promise "not run" without proof, failing

What callers would get: 408, 429 or 503 from an upstream that has run the request, where the status promises the caller that it has not run and never will (REFUSED); a caller then sends a request again that must run once at most. classify_platform_answer takes the header as proof for retries of its own, but passes the status on without it.

Evidence, on this code:

refusals without proof: found 408 for 408; 429 for 429; 503 for 503

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -74,10 +74,10 @@
 
 /* Gives the daemon tables with one pool that has one upstream at PORT. */
 static void
-post_tables (Bench *bench, uint16_t port)
+post_tables (Bench *bench, uint16_t port, GsRepeat repeat)
 {
   GsEvent position = { .kind = GS_EVENT_LOG_POSITION, .position = { .from_start = true } };
-  GsDocument *document = fixture_tables (1, GS_REPEAT_SAFE);
+  GsDocument *document = fixture_tables (1, repeat);
   GsEvent edit = { .kind = GS_EVENT_EDIT,
                    .edit = { .edit = { .submission = 100,
                                        .workspace = document->workspace,
@@ -93,7 +93,7 @@
 }
 
 static Bench *
-bench_new (const GsHeaderNames *names)
+bench_new_with (const GsHeaderNames *names, GsRepeat repeat)
 {
   Bench *bench = g_new0 (Bench, 1);
   GsEngineOptions engine = { 0 };
@@ -116,10 +116,16 @@
   bench->entry = gs_entry_new (&entry, NULL);
   ck_assert_ptr_nonnull (bench->entry);
   bench->asked = g_string_new (NULL);
-  post_tables (bench, port);
+  post_tables (bench, port, repeat);
   return bench;
 }
 
+static Bench *
+bench_new (const GsHeaderNames *names)
+{
+  return bench_new_with (names, GS_REPEAT_SAFE);
+}
+
 static void
 bench_free (Bench *bench)
 {
@@ -376,6 +382,41 @@
 }
 END_TEST
 
+/* Guards against a request that the upstream may have run, refused with a status that promises the
+ * caller that it has not run. */
+START_TEST (status_that_promises_not_run_is_not_passed_on_without_proof)
+{
+  static const uint32_t statuses[] = { 408, 429, 503 };
+  static const uint32_t promises[] = { 408, 421, 429, 503 };
+  GString *wrong = g_string_new (NULL);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      Bench *bench = bench_new_with (&platform_names, GS_REPEAT_ONCE);
+      int fd = caller_connect (bench);
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_autofree char *wire = g_strdup_printf (
+          "HTTP/1.1 %u No\r\nId: 1\r\nStamp: a\r\nContent-Length: 2\r\n\r\nno", statuses[i]);
+      uint32_t status = 0;
+
+      send_all (fd, REQUEST ("Content-Length: 0\r\n"), strlen (REQUEST ("Content-Length: 0\r\n")));
+      upstream_answer (bench, wire);
+      bench_settle (bench);
+      receive (fd, answer);
+      if (answer->len > strlen ("HTTP/1.1 "))
+        status = (uint32_t)g_ascii_strtoull (answer->str + strlen ("HTTP/1.1 "), NULL, 10);
+      for (size_t promise = 0; promise < G_N_ELEMENTS (promises); promise++)
+        if (status == promises[promise] || (status == 0 && promise == 0))
+          g_string_append_printf (wrong, " %u for %u;", status, statuses[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+  ck_assert_msg (wrong->len == 0, "refusals without proof: found%s", wrong->str);
+  g_string_free (wrong, TRUE);
+}
+END_TEST
+
 /* Guards against a refusal that starts with the head of another answer. */
 START_TEST (refusal_of_a_malformed_length_is_one_answer)
 {
@@ -480,6 +521,7 @@
               &request_with_contradictory_lengths_is_not_passed_on,
               &header_whose_name_is_no_token_is_not_passed_on,
               &success_keeps_its_stamp,
+              &status_that_promises_not_run_is_not_passed_on_without_proof,
               &refusal_of_a_malformed_length_is_one_answer,
               &unframed_answer_to_a_caller_that_closed_its_side_does_not_end_orderly,
               &unframed_answer_does_not_end_orderly_with_the_daemon)
