Test the length of answers without a body, failing

What callers would get: the answer to HEAD, or a 304, that states a body of 0 bytes where the upstream has 12. Content-Length is dropped as a header of the connection, and the library states that of the empty buffer.

Evidence, on this code:

length 0 stated for 12: found 200 OK; 304 Not Modified

--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -417,6 +417,38 @@
 }
 END_TEST
 
+/* Guards against an answer without a body that states another length than the upstream did. */
+START_TEST (answer_without_a_body_keeps_its_length)
+{
+  static const char *const methods[] = { "HEAD", "GET" };
+  static const char *const lines[] = { "200 OK", "304 Not Modified" };
+  GString *wrong = g_string_new (NULL);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (methods); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_autofree char *request
+          = g_strdup_printf ("%s /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n\r\n", methods[i]);
+      g_autofree char *wire = g_strdup_printf (
+          "HTTP/1.1 %s\r\nId: 1\r\nStamp: a\r\nContent-Length: 12\r\n\r\n", lines[i]);
+
+      send_all (fd, request, strlen (request));
+      upstream_answer (bench, wire);
+      bench_settle (bench);
+      receive (fd, answer);
+      if (answer->len == 0 || strstr (answer->str, "\r\nContent-Length: 0\r\n") != NULL)
+        g_string_append_printf (wrong, " %s;", lines[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+  ck_assert_msg (wrong->len == 0, "length 0 stated for 12: found%s", wrong->str);
+  g_string_free (wrong, TRUE);
+}
+END_TEST
+
 /* Guards against a refusal that starts with the head of another answer. */
 START_TEST (refusal_of_a_malformed_length_is_one_answer)
 {
@@ -522,6 +554,7 @@
               &header_whose_name_is_no_token_is_not_passed_on,
               &success_keeps_its_stamp,
               &status_that_promises_not_run_is_not_passed_on_without_proof,
+              &answer_without_a_body_keeps_its_length,
               &refusal_of_a_malformed_length_is_one_answer,
               &unframed_answer_to_a_caller_that_closed_its_side_does_not_end_orderly,
               &unframed_answer_does_not_end_orderly_with_the_daemon)
