Refuse requests whose end two readers could see elsewhere

Cause: libmicrohttpd 0.9.75 takes the first of two lengths, takes chunks before any length, and keeps what precedes the colon as the name; nothing checked it.

Change: names that are no tokens, two statements of the body's end, and other codings than chunked are refused with 400, and the connection is closed.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -144,7 +144,8 @@
 
   gs_counter_add (GS_COUNTER_REQUESTS, 1);
   gs_proxy_request_open (request);
-  reason = gs_request_head_parse (request);
+  request->misframed = !gs_request_head_is_framed (request);
+  reason = request->misframed ? "ambiguous-framing" : gs_request_head_parse (request);
   if (reason != NULL)
     gs_proxy_request_refuse (request, 400, reason, 0);
   else if (entry->refusing)
@@ -217,7 +218,7 @@
     return MHD_NO;
   if (request->response == NULL)
     return suspend (request) ? MHD_YES : MHD_NO;
-  if (gs_engine_stopping (request->context->engine))
+  if (request->misframed || gs_engine_stopping (request->context->engine))
     MHD_add_response_header (request->response, "Connection", "close");
   echo_attempt (request);
   if (request->engine_id != 0)
--- a/src/gentian/http/proxy_request.h
+++ b/src/gentian/http/proxy_request.h
@@ -68,6 +68,7 @@
   struct MHD_Response *response; /**< NULL while there is no answer */
   unsigned int status;           /**< HTTP status of the answer */
   bool head_received;
+  bool misframed;           /**< what follows on the connection may be a part of the request */
   bool http_1_0;            /**< the caller knows no chunks */
   bool submitted;           /**< the complete request has been received and handled */
   bool suspended;           /**< the connection is suspended */
--- a/src/gentian/http/request_head.c
+++ b/src/gentian/http/request_head.c
@@ -100,6 +100,50 @@
   return hash;
 }
 
+static bool
+is_token (const char *name)
+{
+  for (const char *byte = name; *byte != '\0'; byte++)
+    if (!g_ascii_isalnum (*byte) && strchr ("!#$%&'*+-.^_`|~", *byte) == NULL)
+      return false;
+  return *name != '\0';
+}
+
+/* How a request states its body, as far as libmicrohttpd does not check it. */
+typedef struct
+{
+  uint32_t n_lengths;
+  uint32_t n_codings;
+  bool valid;
+} BodyFraming;
+
+static enum MHD_Result
+read_framing (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  BodyFraming *framing = data;
+
+  (void)kind;
+  if (!is_token (name))
+    framing->valid = false;
+  if (g_ascii_strcasecmp (name, "Content-Length") == 0)
+    framing->n_lengths++;
+  if (g_ascii_strcasecmp (name, "Transfer-Encoding") != 0)
+    return MHD_YES;
+  framing->n_codings++;
+  if (value == NULL || g_ascii_strcasecmp (value, "chunked") != 0)
+    framing->valid = false;
+  return MHD_YES;
+}
+
+bool
+gs_request_head_is_framed (const GsProxyRequest *request)
+{
+  BodyFraming framing = { .valid = true };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, read_framing, &framing);
+  return framing.valid && framing.n_lengths + framing.n_codings <= 1;
+}
+
 typedef struct
 {
   const char *name;
--- a/src/gentian/http/request_head.h
+++ b/src/gentian/http/request_head.h
@@ -7,6 +7,10 @@
 
 #include "proxy_request.h"
 
+/** RETURN VALUE: whether the headers of the request have valid names and state its body in one way.
+ * If not, upstreams could read its end, and the next request, elsewhere. */
+bool gs_request_head_is_framed (const GsProxyRequest *request);
+
 /** Parses host, permit, hop signature and timeout into REQUEST's event. RETURN VALUE: reason of a
  * refusal, or NULL. */
 const char *gs_request_head_parse (GsProxyRequest *request);
