Reset unframed answers in every end, keep stamps and lengths of answers

What callers got, each shown by a test of the review in test_proxy_request: half of a large answer to HTTP/1.0 with an orderly end, after the caller had closed its own side or when the daemon ended (1248668 of 2497152 bytes); 200 without a stamp where the upstream's was empty; Content-Length: 0 for HEAD and 304 where the upstream said 12.

Change: the socket of an unframed answer resets on close until the answer is complete, and is reset where libmicrohttpd would shut it down; an empty stamp is none; the stated length of an answer without a body is passed on.

--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -72,7 +72,9 @@
 static bool
 is_genuine (const GsHeaderNames *header_names, const GsExchange *exchange)
 {
-  return gs_exchange_header (exchange, header_names->response_stamp) != NULL
+  const char *stamp = gs_exchange_header (exchange, header_names->response_stamp);
+
+  return stamp != NULL && *stamp != '\0'
          && gs_exchange_header (exchange, "Content-Encoding") == NULL;
 }
 
@@ -307,6 +309,24 @@
 
 static void start_streaming (GsProxyRequest *request, GsVerdict earlier_verdict);
 
+/* Whether the answer states the length of a body that it does not have, to HEAD or with status 304.
+ */
+static bool
+states_length_only (const GsExchange *exchange, size_t length)
+{
+  return length == 0 && gs_exchange_length (exchange) > 0;
+}
+
+static ssize_t
+read_nothing (void *data, uint64_t offset, char *out, size_t max)
+{
+  (void)data;
+  (void)offset;
+  (void)out;
+  (void)max;
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
 static void
 send_answer (GsProxyRequest *request, GsVerdict earlier_verdict)
 {
@@ -320,7 +340,11 @@
       start_streaming (request, earlier_verdict); /* only a part of the body is in memory */
       return;
     }
-  response = MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
+  response = states_length_only (request->exchange, length)
+                 ? MHD_create_response_from_callback (
+                     (uint64_t)gs_exchange_length (request->exchange),
+                     PROXY_REQUEST_STREAM_BLOCK_BYTES, read_nothing, NULL, NULL)
+                 : MHD_create_response_from_buffer (length, (void *)body, MHD_RESPMEM_MUST_COPY);
   gs_counter_add (GS_COUNTER_ANSWERS, 1);
   add_answer_headers (request, response, earlier_verdict);
   /* Other requests may use the connection from here on. */
@@ -358,20 +382,48 @@
   gs_cached_answer_clear (&answer);
 }
 
-/* Resets the caller's connection where an orderly close would be the end of a complete answer: the
- * caller was told no length and does not know chunks. */
-static void
-reset_unframed (const GsProxyRequest *request)
+/* Whether the caller was told no length of a streamed answer and does not know chunks: the end of
+ * its connection is the end of the answer. */
+static bool
+is_unframed (const GsProxyRequest *request)
+{
+  return request->streaming && request->http_1_0 && gs_exchange_length (request->exchange) < 0;
+}
+
+static int
+caller_socket (const GsProxyRequest *request)
 {
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  return info != NULL ? info->connect_fd : -1;
+}
+
+/* While an unframed answer is not complete, a close of its connection, also by the end of the
+ * process, is to be a reset. */
+static void
+set_reset_on_close (const GsProxyRequest *request, bool reset)
+{
+  struct linger linger = { .l_onoff = reset ? 1 : 0 };
+
+  if (is_unframed (request)
+      && setsockopt (caller_socket (request), SOL_SOCKET, SO_LINGER, &linger, sizeof linger) != 0)
+    gs_log (GS_LOG_EVENT_CALLER_RESET, "request=%" G_GUINT64_FORMAT " upstream=%s result=\"%s\"",
+            request->engine_id, request->attempt.attempt.target, g_strerror (errno));
+}
+
+/* Resets the caller's connection of an unframed answer that is broken off. libmicrohttpd would shut
+ * it down in order first. */
+static void
+reset_unframed (const GsProxyRequest *request)
+{
   struct sockaddr none = { .sa_family = AF_UNSPEC };
 
-  if (!request->http_1_0 || gs_exchange_length (request->exchange) >= 0 || info == NULL)
-    return;
-  gs_log (GS_LOG_EVENT_CALLER_RESET, "request=%" G_GUINT64_FORMAT " upstream=%s result=%s",
-          request->engine_id, request->attempt.attempt.target,
-          connect (info->connect_fd, &none, sizeof none) == 0 ? "reset" : g_strerror (errno));
+  if (is_unframed (request))
+    gs_log (GS_LOG_EVENT_CALLER_RESET, "request=%" G_GUINT64_FORMAT " upstream=%s result=\"%s\"",
+            request->engine_id, request->attempt.attempt.target,
+            connect (caller_socket (request), &none, sizeof none) == 0 ? "reset"
+                                                                       : g_strerror (errno));
 }
 
 /* Passes on what has been received; suspends the connection until there is more. */
@@ -388,7 +440,10 @@
   if (got > 0)
     return got;
   if (got == GS_EXCHANGE_READ_END)
-    return MHD_CONTENT_READER_END_OF_STREAM;
+    {
+      set_reset_on_close (request, false);
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
   if (got == GS_EXCHANGE_READ_PENDING && request->context->suspend (request))
     return 0;
   request->stream_failed = true;
@@ -409,6 +464,7 @@
 
   gs_engine_post (request->context->engine, &event);
   request->streaming = true;
+  set_reset_on_close (request, true);
   add_answer_headers (request, response, earlier_verdict);
   set_answer (request, (unsigned int)gs_exchange_status (request->exchange), response);
 }
@@ -645,6 +701,7 @@
       = { .kind = GS_EVENT_CALLER_DISCONNECTED, .caller_disconnected = request->engine_id };
 
   request->caller_disconnected = true;
+  reset_unframed (request);
   if (request->attempt_running)
     {
       request->attempt_running = false;
