Keep the quiet time of a 503 that does not state 'not run'

What upstreams would get: requests within the time for which they had asked for none (BUDGET). A 503 without the statement that its request has not run counts as an answer of uncertain origin since it is not passed on; what it announced was dropped with it.

Evidence: retry_after_of_any_503_is_kept failed before: after 'Retry-After: 5' the upstream got the next request.

Change: only a success without the upstream's stamp announces nothing.

--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -145,9 +145,11 @@
 static bool
 is_from_upstream (const GsProxyRequest *request, GsOutcome outcome)
 {
+  long status = gs_exchange_status (request->exchange);
+  bool unstamped_success = outcome == GS_OUTCOME_TRUNCATED && status < 300;
+
   return !request->attempt.attempt.forward && outcome != GS_OUTCOME_MISDIRECTED
-         && outcome != GS_OUTCOME_TRUNCATED
-         && gs_exchange_status (request->exchange) != PROXY_REQUEST_STATUS_MISDIRECTED;
+         && !unstamped_success && status != PROXY_REQUEST_STATUS_MISDIRECTED;
 }
 
 /* Reports to the reducer that an upstream's answer announces a planned stop. */
--- a/test/unit/test_proxy_request.c
+++ b/test/unit/test_proxy_request.c
@@ -30,7 +30,8 @@
                                               .deadline = "Deadline",
                                               .request_id = "Id",
                                               .not_run = "Not-Run",
-                                              .response_stamp = "Stamp" };
+                                              .response_stamp = "Stamp",
+                                              .retry_after = "Retry-After" };
 
 /** A daemon and its upstream. */
 typedef struct
@@ -417,6 +418,45 @@
 }
 END_TEST
 
+/* Guards against requests to an upstream that asked for none in a 503, with or without the
+ * statement that it has not run the request. */
+START_TEST (retry_after_of_any_503_is_kept)
+{
+  static const struct
+  {
+    const char *headers;
+    bool quiet;
+  } refusals[] = { { "", false },
+                   { "Not-Run: 1\r\n", false },
+                   { "Retry-After: 5\r\n", true },
+                   { "Not-Run: 1\r\nRetry-After: 5\r\n", true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refusals); i++)
+    {
+      Bench *bench = bench_new_with (&platform_names, GS_REPEAT_ONCE);
+      int fds[2] = { caller_connect (bench), caller_connect (bench) };
+      g_autofree char *wire = g_strdup_printf (
+          "HTTP/1.1 503 No\r\nId: 1\r\n%sContent-Length: 2\r\n\r\nno", refusals[i].headers);
+
+      send_all (fds[0], REQUEST ("Content-Length: 0\r\n"),
+                strlen (REQUEST ("Content-Length: 0\r\n")));
+      upstream_answer (bench, wire);
+      bench_settle (bench);
+      g_string_truncate (bench->asked, 0);
+      send_all (fds[1], REQUEST ("Content-Length: 0\r\n"),
+                strlen (REQUEST ("Content-Length: 0\r\n")));
+      bench_settle (bench);
+      ck_assert_msg ((bench->asked->len == 0) == refusals[i].quiet,
+                     "after \"%s\" the upstream got \"%s\"", refusals[i].headers,
+                     bench->asked->str);
+      close (fds[0]);
+      close (fds[1]);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+}
+END_TEST
+
 /* Guards against an answer without a body that states another length than the upstream did. */
 START_TEST (answer_without_a_body_keeps_its_length)
 {
@@ -554,6 +594,7 @@
               &header_whose_name_is_no_token_is_not_passed_on,
               &success_keeps_its_stamp,
               &status_that_promises_not_run_is_not_passed_on_without_proof,
+              &retry_after_of_any_503_is_kept,
               &answer_without_a_body_keeps_its_length,
               &refusal_of_a_malformed_length_is_one_answer,
               &unframed_answer_to_a_caller_that_closed_its_side_does_not_end_orderly,
