Find a second answer within a body by the header that names the request

What callers would get: a whole answer refused because its body mentions HTTP/1.1 and contains the digits of the attempt, which are few; and for a body of many such mentions a search whose time grows with the square of its length. Found while reading the diff; not seen.

--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "../log/counter.h"
+#include "answer_copy.h"
 #include "answer_parser.h"
 
 enum
@@ -24,9 +25,6 @@
   EXCHANGE_TIMER_MIN_US = 500,        /* shortest delay for which the limit timer is armed */
 };
 
-/** Beginning of an answer. */
-#define STATUS_LINE "HTTP/1."
-
 /** Delay of the crash check: time for a crashing process to close its listening socket. */
 #define EXCHANGE_CRASH_CHECK_DELAY_S 0.01
 /** Timeout of the crash check's connection attempt. */
@@ -384,9 +382,7 @@
 {
   GsAnswerParserOptions options = { .head_request = exchange->is_head_request };
 
-  if (exchange->buffer->len > 0
-      && memmem (exchange->buffer->data, exchange->buffer->len, STATUS_LINE, strlen (STATUS_LINE))
-             != NULL)
+  if (gs_answer_copy_begins (exchange->buffer->data, exchange->buffer->len))
     {
       discard_answer (exchange, "not-own");
       return;
@@ -405,29 +401,14 @@
 static bool
 is_sent_again_inside (const GsExchange *exchange, const uint8_t *surplus, size_t length)
 {
-  g_autoptr (GByteArray) bytes = NULL;
-  const uint8_t *body = exchange->buffer->data;
-  const uint8_t *at = body;
-  const uint8_t *end;
+  GsAnswerCopyOptions options = { .body = exchange->buffer->data,
+                                  .body_length = exchange->buffer->len,
+                                  .surplus = surplus,
+                                  .surplus_length = length,
+                                  .echo_header = exchange->options.echo_header,
+                                  .echo = exchange->echo };
 
-  if (exchange->echo == NULL || exchange->buffer->len == 0)
-    return false;
-  if (length > 0)
-    {
-      bytes = g_byte_array_sized_new (exchange->buffer->len + (guint)length);
-      g_byte_array_append (bytes, exchange->buffer->data, exchange->buffer->len);
-      g_byte_array_append (bytes, surplus, (guint)length);
-      body = at = bytes->data;
-    }
-  end = body + exchange->buffer->len + length;
-  while ((at = memmem (at, (size_t)(end - at), STATUS_LINE, strlen (STATUS_LINE))) != NULL
-         && at < body + exchange->buffer->len)
-    {
-      if (memmem (at, (size_t)(end - at), exchange->echo, strlen (exchange->echo)) != NULL)
-        return true;
-      at++;
-    }
-  return false;
+  return exchange->echo != NULL && options.echo_header != NULL && gs_answer_copy_found (&options);
 }
 
 /* Handles the bytes of one answer. RETURN VALUE: number of bytes that belong to it. */
