--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,19 +1,20 @@
 # Shell functions of the review's cases, sourced by their run.sh: a small deployment on loopback. The
 # daemons are started as deploy/system.toml says, with settings rendered from deploy/settings.yaml.
 # A case's record.txt has what the clients sent and got, what the servers ran, and the steps.
+CASE=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$(dirname "${BASH_SOURCE[0]}")/.." || exit 2
-CASE=$(cd "$(dirname "$0")" && pwd)
 RECORD=$CASE/record.txt
 PEER=${PEER:-build/review/peer}
 DIR=$(mktemp -d) || exit 2
 TROUBLE=${TROUBLE:-1}
 PIDS=()
 SEEDS= N_SEEDS=0
+CLIENTS=()
 declare -A PID FRONT READY CONTROL ADMIN
 
 finish () {
   local code=$? pid
-  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
+  for pid in "${PIDS[@]}" "${CLIENTS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
   wait 2>/dev/null
   [ -n "${KEEP:-}" ] && cp -r "$DIR" "$KEEP"; rm -rf "$DIR"
   exit $code
@@ -94,7 +95,6 @@
   step "sends id=$3 to $name: $1 $2 deadline_ms=$4" >/dev/null
   $PEER request "${FRONT[$name]}" "$1" h.example "$2" "$3" "$4" "${5:-0}" >>"$RECORD"
 }
-CLIENTS=()
 ask_later () { ask "$@" & CLIENTS+=($!); }
 join_clients () { [ ${#CLIENTS[@]} = 0 ] || wait "${CLIENTS[@]}"; CLIENTS=(); }
 # outcome ID: the outcome that the client saw
