--- a/review/standin/peer.c
+++ b/review/standin/peer.c
@@ -15,7 +15,9 @@
  * request and their place. Options: slots=N, queue=N, kbs=N (rate of its answers), spoil=PATH_PART
  * (an answer to such a path is broken off at spoil_at=BYTES and sent again behind it on the same
  * connection, as `garble` with `extra`), unframed=1 (no length, the end of the connection ends the
- * answer), reset_at=BYTES (an answer to a path with reset_part=TEXT is cut there by a reset).
+ * answer), reset_at=BYTES (an answer to a path with reset_part=TEXT is cut there by a reset),
+ * crash=PATH_PART (it crashes when it begins to run a request to such a path, and is back after
+ * CRASH_DOWN_MS as a new incarnation with a new id, ID_2 and so on).
  *
  * A request prints one line: ID status=N outcome=TEXT bytes=N of=N ms=N stamp=TEXT. Outcomes:
  * whole, cut (the connection ended before the end of the answer), closed (no answer at all), late
@@ -47,6 +49,8 @@
   BLOCK_BYTES = 64,
   HEAD_MAX = 65536,
   HEARTBEAT_MS = 1500,
+  CRASH_DOWN_MS = 3000,
+  FD_MAX = 1024,
   CONNECT_MS = 1000,      /* clients allow a new connection one second */
   CLIENT_MARGIN_MS = 500, /* past the deadline, for answers on their way */
   PORTS_FIRST = 11000,
@@ -292,11 +296,13 @@
   int unframed;
   const char *reset_part;
   long reset_at;
+  const char *crash;
   uint64_t born;
   int running;
   int waiting;
-  int answers;
   volatile sig_atomic_t leaving;
+  volatile sig_atomic_t crashed;
+  char **arguments; /* of the process */
   pthread_mutex_t lock;
   pthread_cond_t freed;
 } Server;
@@ -339,12 +345,45 @@
                              server.service, server.port, server.zone, server.slots,
                              server.leaving ? "draining" : "ready", (unsigned long long)++sequence,
                              (unsigned long long)server.born);
-      append_record (server.store_port, "keyed.servers", server.id, value, (size_t)length);
+      if (!server.crashed)
+        append_record (server.store_port, "keyed.servers", server.id, value, (size_t)length);
       sleep_ms (HEARTBEAT_MS);
     }
   return NULL;
 }
 
+/* Ends all that the process has open, and starts it anew after a while. */
+static void
+crash (void)
+{
+  static char id[64];
+  char *point = strrchr (server.arguments[3], '_');
+
+  server.crashed = 1;
+  for (int fd = 3; fd < FD_MAX; fd++)
+    {
+      shutdown (fd, SHUT_RDWR); /* a call that waits for it in another thread ends */
+      close (fd);
+    }
+  sleep_ms (CRASH_DOWN_MS);
+  snprintf (id, sizeof id, "%.*s_%d",
+            (int)(point != NULL ? point - server.arguments[3] : (long)strlen (server.arguments[3])),
+            server.arguments[3], point != NULL ? atoi (point + 1) + 1 : 2);
+  setenv ("PEER_BEFORE", server.arguments[3], 1);
+  server.arguments[3] = id;
+  execv ("/proc/self/exe", server.arguments);
+  _exit (1);
+}
+
+/* The store removes the entry of a server after three heartbeats of silence. */
+static void *
+remove_former_entry (void *data)
+{
+  sleep_ms (3 * HEARTBEAT_MS - CRASH_DOWN_MS);
+  append_record (server.store_port, "keyed.servers", data, "", 0);
+  return NULL;
+}
+
 /* Takes a slot, after a wait in the queue if need be. RETURN VALUE: whether there was room. */
 static bool
 take_slot (void)
@@ -495,6 +534,11 @@
     }
   work_ms = path_number (path, 'w', 20);
   note ("runs id=%s %s %s deadline_ms=%ld", request, method, path, deadline_ms);
+  if (server.crash != NULL && strstr (path, server.crash) != NULL)
+    {
+      note ("crashes id=%s", request);
+      crash ();
+    }
   sleep_ms (work_ms < deadline_ms ? work_ms : deadline_ms);
   if (work_ms >= deadline_ms)
     {
@@ -572,6 +616,8 @@
     server.reset_part = value;
   else if (strncmp (option, "reset_at=", 9) == 0)
     server.reset_at = atol (value);
+  else if (strncmp (option, "crash=", 6) == 0)
+    server.crash = value;
 }
 
 static int
@@ -597,10 +643,14 @@
       || listen (listener, 512) != 0)
     return 1;
   pthread_create (&thread, NULL, run_heartbeat, NULL);
+  if (getenv ("PEER_BEFORE") != NULL)
+    pthread_create (&thread, NULL, remove_former_entry, getenv ("PEER_BEFORE"));
   for (;;)
     {
       Reader *reader = calloc (1, sizeof *reader);
       reader->fd = accept (listener, NULL, NULL);
+      if (server.crashed)
+        pause ();
       if (reader->fd < 0)
         free (reader);
       else if (pthread_create (&thread, NULL, serve_connection, reader) == 0)
@@ -972,7 +1022,10 @@
   if (argc == 6 && strcmp (argv[1], "put") == 0)
     return put (argv + 2);
   if (argc >= 8 && strcmp (argv[1], "server") == 0)
-    return serve (argc - 2, argv + 2);
+    {
+      server.arguments = argv;
+      return serve (argc - 2, argv + 2);
+    }
   if (argc >= 8 && strcmp (argv[1], "request") == 0)
     return request (argc - 2, argv + 2);
   if (argc == 4 && strcmp (argv[1], "get") == 0)
