Answer every request that is read before the end of a planned stop

Cause: only main.c knew when the daemon exits. The reducer went on with the deadlines of the callers: it queued and granted time that the daemon did not have.

Fix: GS_EVENT_STOP carries the time by which each request must be answered, which is the latest deadline of any request from then on. Schedulers, queues and upstreams know deadlines already; a request that waits is judged again in its place. At the end the entry ends attempts that still run (504, may have run), and refuses what it has received in part, around libmicrohttpd, which takes no answer before the body. A second signal takes the same path.

--- a/src/gentian/core/base.c
+++ b/src/gentian/core/base.c
@@ -15,7 +15,7 @@
 {
   static const char *const names[GS_OUTCOME_COUNT]
       = { "ok",      "error",     "refused", "leaving", "misdirected", "unreachable", "closed",
-          "crashed", "truncated", "timeout", "silent",  "uncertain",   "cancelled" };
+          "crashed", "truncated", "timeout", "silent",  "uncertain",   "cancelled",   "stopped" };
   return outcome < GS_OUTCOME_COUNT ? names[outcome] : "unknown";
 }
 
--- a/src/gentian/core/base.h
+++ b/src/gentian/core/base.h
@@ -48,6 +48,7 @@
   GS_OUTCOME_SILENT,      /**< no answer in time on a reused connection */
   GS_OUTCOME_UNCERTAIN,   /**< complete answer of a daemon that does not know whether it ran */
   GS_OUTCOME_CANCELLED,   /**< the caller disconnected, or the attempt was no longer needed */
+  GS_OUTCOME_STOPPED,     /**< this daemon stops and can wait for the answer no longer */
   GS_OUTCOME_COUNT,
 } GsOutcome;
 
--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -588,12 +588,18 @@
 }
 
 static void
-stop (GsCore *core)
+stop (GsCore *core, int64_t stop_by_us)
 {
-  core->stopping = true;
-  update_ready (core);
-  gs_members_leave (core->members);
-  gs_members_tick (core->members, core->now_us);
+  if (!core->stopping)
+    {
+      core->stopping = true;
+      core->stop_by_us = stop_by_us;
+      update_ready (core);
+      gs_members_leave (core->members);
+      gs_members_tick (core->members, core->now_us);
+    }
+  core->stop_by_us = MIN (core->stop_by_us, stop_by_us);
+  request_stop (core);
 }
 
 /* Handles events of requests and attempts. RETURN VALUE: false if EVENT is of another kind. */
@@ -713,7 +719,7 @@
       handle_upstream_report (core, &event->upstream_report);
       break;
     case GS_EVENT_STOP:
-      stop (core);
+      stop (core, event->stop_by_us);
       break;
     default:
       break;
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -39,6 +39,8 @@
   GS_ADDRESS_LOOKUP_LOCAL_MIN = 2,
   GS_STANDBYS = 2,         /**< homes of a pool that take over when an active home fails */
   GS_LOG_FIELDS_MAX = 320, /**< bytes of a log event's fields */
+  /** of a request that a stopping daemon refuses: another one can accept it at once */
+  GS_STOPPING_RETRY_AFTER_MS = 20,
 };
 
 /** Default time for which a caller may cache an address lookup's answer. */
@@ -256,6 +258,7 @@
       bool duplicate; /**< for a home that did not grant the slot; its loss matters little */
     } slot_result;
     GsRetryAccountUpdate retry_account;
+    int64_t stop_by_us; /**< when every request must have its answer; earlier if sent again */
   };
 } GsEvent;
 
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -74,6 +74,7 @@
   GsVerdict worst_verdict;   /* most severe verdict of its ended attempts; see request_verdict */
   GsVerdict earlier_verdict; /* the same of all attempts but the one that ended last */
   bool forwarded;
+  bool shortened; /* its deadline is the end of a planned stop, not the caller's */
   RequestPhase phase;
   GsPermit permit;
   GsIdempotencyKey key;
@@ -178,6 +179,7 @@
   uint64_t owned_epoch;
   bool was_ready;
   bool stopping;
+  int64_t stop_by_us; /* while stopping: latest deadline of a request */
   GsEffects *effects; /* of the event in progress */
 };
 
@@ -209,6 +211,7 @@
 void request_send_cached_answer (GsCore *core, Request *request);
 void request_serve_queue (GsCore *core, PoolState *state);
 void request_tick (GsCore *core);
+void request_stop (GsCore *core);
 Request *request_find (GsCore *core, uint64_t id);
 
 GsVerdict request_verdict (const Request *request);
@@ -225,6 +228,7 @@
 /* scheduling.c */
 void scheduling_request_slot (GsCore *core, Request *request);
 void scheduling_cancel_slot_request (GsCore *core, Request *request);
+void scheduling_renew_slot_request (GsCore *core, Request *request);
 void scheduling_attempt_late (GsCore *core, uint64_t attempt);
 void scheduling_withdraw_replacement (GsCore *core, Request *request, const Attempt *late_attempt);
 void scheduling_attempt_end (GsCore *core,
--- a/src/gentian/core/pool.c
+++ b/src/gentian/core/pool.c
@@ -435,6 +435,7 @@
         gs_pool_report_overdue (pool, index, result->sent_us, result->now_us);
       break;
     case GS_OUTCOME_CANCELLED:
+    case GS_OUTCOME_STOPPED:
       break;
     default:
       if (!result->overdue_counted && !result->request_suspect)
--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -40,6 +40,19 @@
   g_hash_table_remove (core->requests, &request->id);
 }
 
+/* Whether REQUEST is refused only for lack of time until the end of a planned stop. */
+static bool
+is_refused_by_stop (const Request *request, const char *reason)
+{
+  static const char *const reasons[]
+      = { "no-slot-in-time", "deadline-out-of-reach", "deadline-passed-in-queue" };
+
+  for (size_t i = 0; request->shortened && i < G_N_ELEMENTS (reasons); i++)
+    if (strcmp (reason, reasons[i]) == 0)
+      return true;
+  return false;
+}
+
 void
 request_reject (GsCore *core,
                 Request *request,
@@ -49,6 +62,8 @@
 {
   GsEffect *effect = core_add_effect (core, GS_EFFECT_REJECT);
 
+  if (is_refused_by_stop (request, reason))
+    request->retry_after_ms = GS_STOPPING_RETRY_AFTER_MS;
   effect->reject = (GsRejectEffect){
     .request = request->id,
     .verdict = verdict,
@@ -365,6 +380,19 @@
   return MAX (route->target_ms - passed_ms, 0) * GS_US_PER_MS;
 }
 
+/* During a planned stop, no request may last beyond its end. RETURN VALUE: whether that moved the
+ * deadline of REQUEST. */
+static bool
+shorten_deadline (const GsCore *core, Request *request)
+{
+  if (!core->stopping || request->deadline_us <= core->stop_by_us)
+    return false;
+  request->deadline_us = core->stop_by_us;
+  request->target_us = MIN (request->target_us, core->stop_by_us);
+  request->shortened = true;
+  return true;
+}
+
 static Request *
 add_request (GsCore *core, const GsRequestEvent *event, const GsRoute *route, const GsPoolRow *row)
 {
@@ -388,6 +416,7 @@
   request->priority = route->priority;
   request->max_executions = route->max_attempts != 0 ? route->max_attempts : CORE_ATTEMPTS_MAX;
   request->target_us = core->now_us + target_left_us (route, event->timeout_ms);
+  shorten_deadline (core, request);
   g_strlcpy (request->label, event->label != NULL ? event->label : "-", sizeof request->label);
   if (route->repeat == GS_REPEAT_NEVER)
     request->permit = event->permit; /* on other routes only the upstream uses the key */
@@ -645,8 +674,10 @@
 {
   if (gs_outcome_verdict (outcome) == GS_VERDICT_NOT_RUN)
     return STATUS_UNAVAILABLE;
-  return outcome == GS_OUTCOME_TIMEOUT || outcome == GS_OUTCOME_SILENT ? STATUS_GATEWAY_TIMEOUT
-                                                                       : STATUS_BAD_GATEWAY;
+  return outcome == GS_OUTCOME_TIMEOUT || outcome == GS_OUTCOME_SILENT
+                 || outcome == GS_OUTCOME_STOPPED
+             ? STATUS_GATEWAY_TIMEOUT
+             : STATUS_BAD_GATEWAY;
 }
 
 static void
@@ -838,3 +869,48 @@
   expire_waiting (core);
   check_running_attempts (core);
 }
+
+/* Queues the requests of a pool again, in their order, under their new deadlines. Those that cannot
+ * be answered in time are rejected. */
+static void
+requeue (GsCore *core, PoolState *state)
+{
+  g_autoptr (GArray) waiting = g_array_new (FALSE, FALSE, sizeof (GsQueuedRequest));
+  GsQueuedRequest queued;
+
+  if (state->pool == NULL)
+    return;
+  while (gs_queue_pop (state->queue, &queued))
+    g_array_append_val (waiting, queued);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      Request *request = request_find (core, g_array_index (waiting, GsQueuedRequest, i).request);
+      request->phase = REQUEST_NEW;
+      enqueue (core, request);
+    }
+}
+
+/* Applies the end of a planned stop to all requests. Those that wait and cannot be answered by then
+ * are rejected now, while their callers have time to use another daemon. */
+void
+request_stop (GsCore *core)
+{
+  g_autoptr (GArray) shortened = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (shorten_deadline (core, value))
+      g_array_append_val (shortened, ((Request *)value)->id);
+  expire_waiting (core);
+  g_hash_table_iter_init (&iter, core->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    requeue (core, value);
+  for (guint i = 0; i < shortened->len; i++)
+    {
+      Request *request = request_find (core, g_array_index (shortened, uint64_t, i));
+      if (request != NULL)
+        scheduling_renew_slot_request (core, request);
+    }
+}
--- a/src/gentian/core/scheduler.c
+++ b/src/gentian/core/scheduler.c
@@ -49,6 +49,9 @@
 /** An attempt that has run for so many times the limit of slow answers may be replaced whatever its
  * upstream: a tenth of the slow answers of a healthy server take longer. */
 #define SCHEDULER_STUCK_FACTOR 2
+/** A deadline that comes with a repeated slot request and is this much earlier has been moved up.
+ * Less is the difference between the delays of two messages. */
+#define SCHEDULER_SHORTENED_US (100 * GS_US_PER_MS)
 /** Part of the time left that an attempt may take while mean durations are unknown. */
 #define SCHEDULER_ATTEMPT_TIMEOUT_SHARE 0.6
 /** Shortest time between two reports that the retry budget is used up. */
@@ -476,6 +479,29 @@
   return g_hash_table_lookup (scheduler->grants_by_request, &key);
 }
 
+/* Moves up the deadline of a queued request to that of REQUEST. RETURN VALUE: false when the
+ * request can no longer be answered in time from its place in the queue. */
+static bool
+shorten_deadline (GsScheduler *scheduler,
+                  QueuedRequest *queued,
+                  const GsSlotRequest *request,
+                  int64_t now_us)
+{
+  double mean_us = (double)gs_latency_stats_mean_us (&scheduler->durations, request->flow);
+  int64_t wait_us = gs_latency_stats_overall_mean_us (&scheduler->durations);
+  guint index = 0;
+
+  if (request->deadline_us > queued->request.deadline_us - SCHEDULER_SHORTENED_US)
+    return true;
+  queued->request.deadline_us = request->deadline_us;
+  queued->request.target_us = MIN (queued->request.target_us, request->target_us);
+  g_ptr_array_find (scheduler->queue, queued, &index);
+  wait_us
+      = wait_us * (index + 1) / MAX (gs_upstream_set_capacity (scheduler->upstreams, now_us), 1);
+  return now_us + wait_us + (int64_t)(mean_us * SCHEDULER_MARGIN_LIGHT_LOAD)
+         <= request->deadline_us;
+}
+
 /* Replies to a slot request that was received before. RETURN VALUE: false when it is new. */
 static bool
 repeat_reply (GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
@@ -483,7 +509,13 @@
   QueuedRequest *queued = find_queued (scheduler, request->origin, request->token);
   Grant *grant = queued == NULL ? find_grant (scheduler, request->origin, request->token) : NULL;
 
-  if (queued != NULL)
+  if (queued != NULL && !shorten_deadline (scheduler, queued, request, now_us))
+    {
+      refuse (scheduler, request, "deadline-out-of-reach",
+              retry_after_for (scheduler, request, now_us), now_us);
+      g_ptr_array_remove (scheduler->queue, queued);
+    }
+  else if (queued != NULL)
     {
       GsSlotReply reply = make_reply (scheduler, request, GS_SLOT_QUEUED, "no-free-slot");
       queued->renewed_us = now_us;
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -594,6 +594,20 @@
     send_slot_request (core, request, scheduler);
 }
 
+/* Sends a slot request again at once, since the request's deadline has moved up. */
+void
+scheduling_renew_slot_request (GsCore *core, Request *request)
+{
+  const GsMemberInfo *scheduler = requested_scheduler (core, request);
+
+  if (request->phase != REQUEST_AWAITING_SLOT)
+    return;
+  if (request->scheduler_hash == 0)
+    request_slot_here (core, request);
+  else if (scheduler != NULL)
+    send_slot_request (core, request, scheduler);
+}
+
 static void
 check_slot_request (GsCore *core, Request *request)
 {
@@ -656,7 +670,8 @@
                          .grant = attempt->grant,
                          .upstream = attempt->upstream,
                          .flow = flow,
-                         .outcome = event->outcome,
+                         .outcome = event->outcome == GS_OUTCOME_STOPPED ? GS_OUTCOME_CANCELLED
+                                                                         : event->outcome,
                          .leaving = gs_registry_has_announced_leaving (
                              core->registry, attempt->target, attempt->started_ms),
                          .quiet_ms = MIN (event->quiet_ms, GS_QUIET_MAX_MS),
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -740,9 +740,9 @@
 }
 
 void
-gs_engine_stop (GsEngine *engine)
+gs_engine_stop (GsEngine *engine, int64_t stop_by_us)
 {
-  GsEvent event = { .kind = GS_EVENT_STOP };
+  GsEvent event = { .kind = GS_EVENT_STOP, .stop_by_us = stop_by_us };
 
   g_atomic_int_set (&engine->stopping, 1);
   gs_engine_post (engine, &event);
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -80,8 +80,9 @@
 /** RETURN VALUE: the partitions of the claims streams that this daemon must read. */
 GsClaimPartitions gs_engine_claim_partitions (GsEngine *engine);
 
-/** Begins a planned stop. */
-void gs_engine_stop (GsEngine *engine);
+/** Begins a planned stop, during which no request lasts beyond STOP_BY_US (monotonic time).
+ * Requests that cannot be answered by then are rejected. Called again, moves that time up. */
+void gs_engine_stop (GsEngine *engine, int64_t stop_by_us);
 
 /** RETURN VALUE: true once gs_engine_stop was called. */
 bool gs_engine_stopping (const GsEngine *engine);
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -5,14 +5,15 @@
 
 #include "../log/counter.h"
 #include "../log/histogram.h"
+#include "../log/log.h"
 #include "proxy_request.h"
 #include "request_head.h"
 #include "server.h"
 
 enum
 {
-  ENTRY_IDLE_S = 75,            /* above the longest idle timeout of callers in any tables, 15 s */
-  ENTRY_STOPPING_RETRY_MS = 20, /* short, because another daemon can accept the request at once */
+  ENTRY_IDLE_S = 75, /* above the longest idle timeout of callers in any tables, 15 s */
+  ENTRY_REFUSAL_BYTES_MAX = 400,
 };
 
 /** Period at which the connections of suspended requests are checked: a caller that has closed
@@ -24,11 +25,12 @@
   GsEngine *engine;
   GsProxyContext context;
   GsServer *server;
+  GQueue requests;  /* of EntryRequest, by their links: all that are in flight */
   GQueue suspended; /* of GsProxyRequest, by their links */
   ev_timer caller_check;
-  bool refusing; /* new requests are refused because the daemon is about to exit */
-  bool closing;  /* the server is being stopped; no connection may be suspended any more */
-  uint32_t in_flight;
+  bool refusing;    /* new requests are refused because the daemon is about to exit */
+  bool closing;     /* the server is being stopped; no connection may be suspended any more */
+  uint32_t n_ended; /* attempts that were ended for the daemon's exit */
 };
 
 /* A request and the entry that it belongs to. */
@@ -36,6 +38,8 @@
 {
   GsProxyRequest request;
   GsEntry *entry;
+  GList link;          /* in the entry's list of requests; its data is NULL if it is not listed */
+  bool refused_unread; /* answered before it was complete; what still arrives is discarded */
 } EntryRequest;
 
 static GsEntry *
@@ -149,7 +153,7 @@
   if (reason != NULL)
     gs_proxy_request_refuse (request, 400, reason, 0);
   else if (entry->refusing)
-    gs_proxy_request_refuse (request, 503, "stopping", ENTRY_STOPPING_RETRY_MS);
+    gs_proxy_request_refuse (request, 503, "stopping", GS_STOPPING_RETRY_AFTER_MS);
   else if (!head_fits (request, &limits))
     gs_proxy_request_refuse (request, 431, "head-too-large", 0);
   else if (!body_fits (request, &limits))
@@ -229,6 +233,12 @@
   return result;
 }
 
+static bool
+was_refused_unread (const GsProxyRequest *request)
+{
+  return ((const EntryRequest *)(const void *)request)->refused_unread;
+}
+
 static enum MHD_Result
 on_request (void *data,
             struct MHD_Connection *connection,
@@ -253,10 +263,13 @@
     }
   if (*upload_length > 0)
     {
-      append_body (request, upload, *upload_length);
+      if (!was_refused_unread (request))
+        append_body (request, upload, *upload_length);
       *upload_length = 0;
       return MHD_YES;
     }
+  if (was_refused_unread (request))
+    return MHD_NO;
   if (!request->submitted)
     {
       request->submitted = true;
@@ -284,28 +297,68 @@
   request->path = g_strndup (target, strcspn (target, "?"));
   request->body = g_byte_array_new ();
   g_queue_init (&request->effects);
-  entry->in_flight++;
+  owned->link.data = owned;
+  g_queue_push_tail_link (&entry->requests, &owned->link);
   return request;
 }
 
+/* Requests whose answer has been sent are no longer in flight. */
+static void
+remove_from_flight (EntryRequest *owned)
+{
+  if (owned->link.data == NULL)
+    return;
+  g_queue_unlink (&owned->entry->requests, &owned->link);
+  owned->link.data = NULL;
+}
+
+/* libmicrohttpd takes no answer to a request that it is still reading, so this one goes around it.
+ * The answers to earlier requests on the connection have been sent. */
+static void
+refuse_unread (EntryRequest *owned)
+{
+  static const char body[] = "{\"verdict\":\"not-run\",\"reason\":\"stopping\"}\n";
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (owned->request.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char answer[ENTRY_REFUSAL_BYTES_MAX];
+  int length = g_snprintf (answer, sizeof answer,
+                           "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                           "Gentian-Verdict: %s\r\nRetry-After: 0.%03u\r\n"
+                           "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+                           gs_verdict_name (GS_VERDICT_NOT_RUN), GS_STOPPING_RETRY_AFTER_MS,
+                           sizeof body - 1, body);
+  bool sent
+      = info != NULL
+        && send (info->connect_fd, answer, (size_t)length, MSG_NOSIGNAL | MSG_DONTWAIT) == length;
+
+  gs_log (GS_LOG_EVENT_REQUEST_REFUSED, "status=503 reason=stopping unread=yes sent=%s",
+          sent ? "yes" : "no");
+  owned->refused_unread = true;
+  remove_from_flight (owned);
+  if (!sent)
+    return;
+  gs_counter_add (GS_COUNTER_REJECTED_NOT_RUN, 1);
+  shutdown (info->connect_fd, SHUT_WR);
+}
+
 static void
 on_request_complete (void *data,
                      struct MHD_Connection *connection,
                      void **context,
                      enum MHD_RequestTerminationCode code)
 {
-  GsEntry *entry = data;
   GsProxyRequest *request = *context;
 
+  (void)data;
   (void)connection;
   if (request == NULL)
     return;
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->streaming)
     request->stream_failed = true;
+  remove_from_flight ((EntryRequest *)(void *)request);
   gs_proxy_request_clear (request);
   g_free (request);
   *context = NULL;
-  entry->in_flight--;
 }
 
 static void
@@ -345,6 +398,7 @@
                           .answer_cache = gs_answer_cache_new (settings->kept_answers_bytes),
                           .resume = resume,
                           .suspend = suspend };
+  g_queue_init (&entry->requests);
   g_queue_init (&entry->suspended);
   ev_timer_init (&entry->caller_check, on_caller_check, ENTRY_CALLER_CHECK_S, ENTRY_CALLER_CHECK_S);
   entry->caller_check.data = entry;
@@ -365,13 +419,43 @@
 void
 gs_entry_refuse (GsEntry *entry)
 {
+  GList *next;
+
   entry->refusing = true;
+  for (GList *link = entry->requests.head; link != NULL; link = next)
+    {
+      EntryRequest *owned = link->data;
+      next = link->next;
+      if (!owned->request.submitted)
+        refuse_unread (owned);
+    }
+}
+
+void
+gs_entry_end_requests (GsEntry *entry)
+{
+  GList *next;
+
+  gs_entry_quiesce (entry);
+  gs_entry_refuse (entry);
+  gs_engine_stop (entry->engine, g_get_monotonic_time ());
+  for (GList *link = entry->suspended.head; link != NULL; link = next)
+    {
+      next = link->next;
+      entry->n_ended += gs_proxy_request_stop (link->data) ? 1 : 0;
+    }
+}
+
+uint32_t
+gs_entry_n_ended (const GsEntry *entry)
+{
+  return entry->n_ended;
 }
 
 uint32_t
 gs_entry_in_flight (const GsEntry *entry)
 {
-  return entry->in_flight;
+  return entry->requests.length;
 }
 
 void
--- a/src/gentian/http/entry.h
+++ b/src/gentian/http/entry.h
@@ -32,15 +32,24 @@
 /** RETURN VALUE: a started server, or NULL with ERROR when it cannot listen on the port. */
 GsEntry *gs_entry_new (const GsEntryOptions *options, GError **error);
 
-/** Refuses new requests from now on, as not run; requests in flight continue. */
+/** Refuses new requests from now on, as not run, and those that have been received in part; other
+ * requests in flight continue. */
 void gs_entry_refuse (GsEntry *entry);
 
+/** Stops listening and answers all requests that have no answer yet: those that have not run as not
+ * run, the others as may-have-run. The loop sends the answers. Answers that are being streamed
+ * continue. May be called again, for attempts that were about to start. */
+void gs_entry_end_requests (GsEntry *entry);
+
 /** Stops listening; requests in flight continue. */
 void gs_entry_quiesce (GsEntry *entry);
 
 /** RETURN VALUE: number of requests in flight, including those whose answers are being streamed. */
 uint32_t gs_entry_in_flight (const GsEntry *entry);
 
+/** RETURN VALUE: number of attempts that gs_entry_end_requests has ended. */
+uint32_t gs_entry_n_ended (const GsEntry *entry);
+
 /** Stops the server and aborts the requests in flight. */
 void gs_entry_free (GsEntry *entry);
 
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -622,14 +622,12 @@
   gs_exchange_start (request->exchange);
 }
 
-/* Cancels a late attempt that the reducer no longer waits for. Its end is reported before the next
- * effect is executed. */
+/* Cancels the running attempt, with OUTCOME if the upstream may have got the request. */
 static void
-end_late_attempt (GsProxyRequest *request)
+end_attempt (GsProxyRequest *request, GsOutcome outcome)
 {
-  GsOutcome outcome
-      = gs_exchange_sent (request->exchange) ? GS_OUTCOME_TIMEOUT : GS_OUTCOME_UNREACHABLE;
-
+  if (!gs_exchange_sent (request->exchange))
+    outcome = GS_OUTCOME_UNREACHABLE;
   request->attempt_running = false;
   gs_exchange_cancel (request->exchange, outcome);
   report_attempt_end (request, outcome);
@@ -677,8 +675,10 @@
   GsProxyRequest *request = data;
 
   g_queue_push_tail (&request->effects, g_memdup2 (effect, sizeof *effect));
+  /* The reducer no longer waits for a late attempt. Its end is reported before the next effect is
+   * executed. */
   if (request->attempt_running && request->late_reported)
-    end_late_attempt (request);
+    end_attempt (request, GS_OUTCOME_TIMEOUT);
   execute_effects (request);
 }
 
@@ -715,6 +715,25 @@
   request->context->resume (request);
 }
 
+bool
+gs_proxy_request_stop (GsProxyRequest *request)
+{
+  bool running = request->attempt_running;
+
+  if (request->lookup != NULL)
+    {
+      g_clear_pointer (&request->lookup, gs_address_lookup_cancel);
+      gs_proxy_request_refuse (request, PROXY_REQUEST_STATUS_UNAVAILABLE, "stopping",
+                               GS_STOPPING_RETRY_AFTER_MS);
+    }
+  else if (request->attempt_running)
+    {
+      end_attempt (request, GS_OUTCOME_STOPPED);
+      execute_effects (request);
+    }
+  return running;
+}
+
 void
 gs_proxy_request_clear (GsProxyRequest *request)
 {
--- a/src/gentian/http/proxy_request.h
+++ b/src/gentian/http/proxy_request.h
@@ -86,6 +86,11 @@
 /** Handles that the caller has closed its connection: cancels the attempt or the wait for one. */
 void gs_proxy_request_caller_disconnected (GsProxyRequest *request);
 
+/** Ends the attempt or the address lookup of a request without an answer, since the daemon exits:
+ * it is answered as the verdict of its attempts allows. Streamed answers continue. RETURN VALUE:
+ * whether an attempt was running. */
+bool gs_proxy_request_stop (GsProxyRequest *request);
+
 /** Ends whatever is pending and frees what REQUEST owns, but not REQUEST itself. */
 void gs_proxy_request_clear (GsProxyRequest *request);
 
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -39,7 +39,9 @@
 /** Time without requests after which none is expected on callers' persistent connections. */
 #define STOP_IDLE_US (500 * G_TIME_SPAN_MILLISECOND)
 /** Part of the stop limit that remains for the exit of the process. */
-#define STOP_EXIT_US (350 * G_TIME_SPAN_MILLISECOND)
+#define STOP_EXIT_US (200 * G_TIME_SPAN_MILLISECOND)
+/** Time before the limit at which all requests without an answer get one. */
+#define STOP_ANSWER_US (150 * G_TIME_SPAN_MILLISECOND)
 
 static const char *settings_file;
 
@@ -201,6 +203,7 @@
   uint64_t requests;         /* GS_COUNTER_REQUESTS at the last poll */
   int64_t expected_until_us; /* until then requests are expected */
   int64_t refuse_from_us;    /* from then on new requests are refused */
+  int64_t answer_by_us;      /* from then on requests in flight are answered as they are */
   int64_t limit_us;          /* when the stop ends at the latest */
 } Stop;
 
@@ -216,15 +219,25 @@
   if (requests != stop->requests || gs_entry_in_flight (entry) > 0)
     stop->expected_until_us = MAX (stop->expected_until_us, now_us + STOP_IDLE_US);
   stop->requests = requests;
-  if (now_us >= stop->expected_until_us || now_us >= stop->limit_us)
-    {
-      ev_break (loop, EVBREAK_ALL);
-      return;
-    }
-  if (now_us >= stop->refuse_from_us)
+  if (now_us >= stop->limit_us
+      || (gs_entry_in_flight (entry) == 0
+          && now_us >= MIN (stop->expected_until_us, stop->answer_by_us)))
+    ev_break (loop, EVBREAK_ALL);
+  else if (now_us >= stop->answer_by_us)
+    gs_entry_end_requests (entry);
+  else if (now_us >= stop->refuse_from_us)
     gs_entry_refuse (entry);
 }
 
+/* Ends the stop at LIMIT_US at the latest. */
+static void
+set_limit (Stop *stop, int64_t limit_us)
+{
+  stop->limit_us = limit_us;
+  stop->answer_by_us = limit_us - STOP_ANSWER_US;
+  gs_engine_stop (stop->services->engine, stop->answer_by_us);
+}
+
 static void
 begin_stop (Stop *stop, struct ev_loop *loop)
 {
@@ -232,17 +245,16 @@
   int64_t now_us = g_get_monotonic_time ();
 
   gs_log (GS_LOG_EVENT_STOPPING, "in_flight=%u", gs_entry_in_flight (stop->services->entry));
-  stop->limit_us = now_us + stop_limit_us (settings);
   stop->expected_until_us
       = now_us + (int64_t)settings->entries_life_ms * G_TIME_SPAN_MILLISECOND + STOP_MARGIN_US;
   stop->refuse_from_us
       = now_us + MIN (stop_limit_us (settings) / STOP_ACCEPT_DIVISOR, STOP_ACCEPT_MAX_US);
   stop->requests = gs_counter_value (GS_COUNTER_REQUESTS);
-  gs_engine_stop (stop->services->engine);
+  set_limit (stop, now_us + stop_limit_us (settings));
   ev_timer_start (loop, &stop->poll);
 }
 
-/* The first signal begins a planned stop, a second one ends it at once. */
+/* The first signal begins a planned stop. A second one ends it: what has no answer yet gets one. */
 static void
 on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
 {
@@ -250,7 +262,7 @@
 
   (void)events;
   if (ev_is_active (&stop->poll))
-    ev_break (loop, EVBREAK_ALL);
+    set_limit (stop, g_get_monotonic_time () + STOP_ANSWER_US);
   else
     begin_stop (stop, loop);
 }
@@ -296,7 +308,7 @@
           settings->entry_port, settings->admin_port, settings->peer_port,
           settings->failure_domain);
   serve (&services);
-  cut = gs_entry_in_flight (services.entry);
+  cut = gs_entry_in_flight (services.entry) + gs_entry_n_ended (services.entry);
   if (cut > 0)
     gs_log (GS_LOG_EVENT_REQUESTS_CUT, "requests=%u", cut);
   gs_counter_add (GS_COUNTER_REQUESTS_CUT, cut);
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -12,6 +12,7 @@
  *   unstamped=PERCENT             share of responses without Gentianscale-Response-Stamp
  *   leaving=0|1                   all answers have Server-Leaving, whatever it registers
  *   retry_after=TEXT              value of Retry-After in its refusals with 503; empty: none
+ *   work=MS                       how long it works on a request
  *   id=ID                         id that it uses in registrations and responses
  */
 #include <curl/curl.h>
@@ -183,6 +184,7 @@
     g_strlcpy (upstream->id, id, sizeof upstream->id);
   set_number (request, "fail", &upstream->fail);
   set_number (request, "shed", &upstream->shed);
+  set_number (request, "work", &upstream->work_ms);
   set_number (request, "unstamped", &upstream->unstamped);
   set_number (request, "leaving", &upstream->leaving);
   ulfius_set_string_body_response (response, 200, "ok\n");
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -118,6 +118,47 @@
 }
 END_TEST
 
+/* Guards against a queued request that gets no answer when the daemon exits. */
+START_TEST (queued_request_is_refused_when_a_planned_stop_leaves_it_no_time)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsEvent stop = { .kind = GS_EVENT_STOP };
+  uint64_t attempt = fixture_request (&fixture, 1, 1);
+
+  fixture_tick (&fixture, 300 * GS_US_PER_MS);
+  fixture_end_attempt (&fixture, attempt, GS_OUTCOME_OK);
+  for (uint64_t i = 2; i <= 6; i++)
+    fixture_request (&fixture, i, i);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 5);
+  stop.stop_by_us = fixture.now_us + 10 * GS_US_PER_MS;
+  fixture_reduce (&fixture, &stop);
+  ck_assert_ptr_nonnull (rejection (&fixture));
+  ck_assert_uint_eq (rejection (&fixture)->request, 6);
+  ck_assert_int_eq (rejection (&fixture)->verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (rejection (&fixture)->retry_after_ms, GS_STOPPING_RETRY_AFTER_MS);
+  fixture_free (&fixture);
+}
+END_TEST
+
+/* Guards against requests that are queued for long at the end of a planned stop, when no answer has
+ * come from which their wait could be told. */
+START_TEST (queued_request_is_refused_at_the_end_of_a_planned_stop)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsEvent stop = { .kind = GS_EVENT_STOP };
+
+  for (uint64_t i = 1; i <= 5; i++)
+    fixture_request (&fixture, i, i);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 5);
+  stop.stop_by_us = fixture.now_us;
+  fixture_reduce (&fixture, &stop);
+  ck_assert_ptr_nonnull (rejection (&fixture));
+  ck_assert_int_eq (rejection (&fixture)->verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (gs_core_in_flight (fixture.core), 4);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (unknown_route_gets_404_and_missing_tables_get_503)
 {
   GsCoreOptions options = { .self = fixture_member ("self", "d0") };
@@ -750,6 +791,8 @@
               &request_that_did_not_run_is_retried_on_every_route,
               &verdict_includes_all_earlier_attempts,
               &request_that_cannot_meet_its_deadline_is_refused_at_once,
+              &queued_request_is_refused_when_a_planned_stop_leaves_it_no_time,
+              &queued_request_is_refused_at_the_end_of_a_planned_stop,
               &unknown_route_gets_404_and_missing_tables_get_503,
               &a_ticket_is_dispatched_once,
               &a_ticket_that_did_not_run_may_be_used_again,
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -207,7 +207,7 @@
   char answer[ANSWER_BYTES_MAX];
   int caller = connect_caller (fixture);
 
-  gs_engine_stop (fixture->engine);
+  gs_engine_stop (fixture->engine, g_get_monotonic_time () + WAIT_MS * G_TIME_SPAN_MILLISECOND);
   gs_entry_quiesce (fixture->entry);
   send_text (caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
   entry_fixture_free (fixture);
@@ -219,6 +219,102 @@
 }
 END_TEST
 
+/* Runs the loop until the entry has closed the connection of FD, and reads what it sent. */
+static void
+read_to_end (EntryFixture *fixture, int fd, char *answer)
+{
+  size_t length = 0;
+  ssize_t got = -1;
+
+  for (int i = 0; i < WAIT_MS && got != 0; i++)
+    {
+      run_loop (fixture);
+      while ((got = recv (fd, answer + length, ANSWER_BYTES_MAX - 1 - length, MSG_DONTWAIT)) > 0)
+        length += (size_t)got;
+    }
+  ck_assert_int_eq (got, 0);
+  answer[length] = '\0';
+}
+
+/* Guards against a connection that is closed, or kept waiting until the exit, while the entry has
+ * received a part of a request. */
+START_TEST (request_received_in_part_is_refused_in_a_planned_stop)
+{
+  static const char *const parts[] = {
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
+    "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nha",
+    "GET /x HTTP/1.1\r\nHost: h\r\n",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (parts); i++)
+    {
+      EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+      char answer[ANSWER_BYTES_MAX];
+      int caller = connect_caller (fixture);
+
+      send_text (caller, parts[i]);
+      for (int k = 0; k < 20; k++)
+        run_loop (fixture);
+      ck_assert_uint_eq (gs_entry_in_flight (fixture->entry), 1);
+      gs_entry_refuse (fixture->entry);
+      ck_assert_uint_eq (gs_entry_in_flight (fixture->entry), 0);
+      read_to_end (fixture, caller, answer);
+      ck_assert_int_eq (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+      ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: not-run\r\n"));
+      ck_assert_ptr_nonnull (strstr (answer, "Connection: close\r\n"));
+      ck_assert_ptr_nonnull (strstr (answer, "Retry-After: 0.020\r\n"));
+      close (caller);
+      entry_fixture_free (fixture);
+    }
+}
+END_TEST
+
+/* Guards against a second answer to a request that was refused while it was received. */
+START_TEST (rest_of_a_request_that_was_refused_in_part_gets_no_answer)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  char answer[ANSWER_BYTES_MAX];
+  int caller = connect_caller (fixture);
+
+  send_text (caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\nhalf");
+  for (int k = 0; k < 20; k++)
+    run_loop (fixture);
+  gs_entry_refuse (fixture->entry);
+  send_text (caller, "rest");
+  for (int k = 0; k < 20; k++)
+    run_loop (fixture);
+  read_answer (caller, answer);
+  ck_assert_ptr_nonnull (strstr (answer, "HTTP/1.1 503 "));
+  ck_assert_ptr_null (strstr (answer + 1, "HTTP/1.1"));
+  close (caller);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
+/* Guards against a closed connection in the place of an answer, for a request that an upstream
+ * still runs at the end of a planned stop. */
+START_TEST (running_request_is_answered_at_the_end_of_a_planned_stop)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  char answer[ANSWER_BYTES_MAX];
+  int caller = connect_caller (fixture);
+  int upstream;
+
+  send_text (caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  upstream = accept_attempt (fixture);
+  gs_engine_stop (fixture->engine, g_get_monotonic_time () + WAIT_MS * G_TIME_SPAN_MILLISECOND);
+  gs_entry_end_requests (fixture->entry);
+  ck_assert_uint_eq (gs_entry_n_ended (fixture->entry), 1);
+  read_to_end (fixture, caller, answer);
+  ck_assert_ptr_nonnull (strstr (answer, "HTTP/1.1 504 "));
+  ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: may-have-run\r\n"));
+  ck_assert_uint_eq (gs_entry_in_flight (fixture->entry), 0);
+  close (upstream);
+  close (caller);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
 /* Guards against a promise of "not run" that an upstream gave for its own attempt only, after one
  * at another upstream that may have run. */
 START_TEST (not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
@@ -278,5 +374,8 @@
 
 FIXTURE_MAIN ("entry",
               &request_that_comes_at_the_end_of_a_stop_is_refused,
+              &request_received_in_part_is_refused_in_a_planned_stop,
+              &rest_of_a_request_that_was_refused_in_part_gets_no_answer,
+              &running_request_is_answered_at_the_end_of_a_planned_stop,
               &not_run_of_the_last_attempt_says_nothing_of_earlier_ones,
               &status_without_the_upstreams_statement_promises_nothing)
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -803,7 +803,7 @@
 {
   Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
   GsEvent late = { .kind = GS_EVENT_ATTEMPT_LATE };
-  GsEvent stop = { .kind = GS_EVENT_STOP };
+  GsEvent stop = { .kind = GS_EVENT_STOP, .stop_by_us = INT64_MAX };
   int core;
   GsEffect *effect;
 
@@ -817,6 +817,150 @@
 }
 END_TEST
 
+static void
+stop_daemon (Fleet *fleet, int core, int64_t after_us)
+{
+  GsEvent stop = { .kind = GS_EVENT_STOP, .stop_by_us = fleet->now_us + after_us };
+
+  post_event (fleet, core, &stop);
+}
+
+/* Answers a request after 500 ms, so that schedulers know how long requests take. */
+static void
+learn_duration (Fleet *fleet)
+{
+  uint64_t attempt;
+  int core;
+
+  request (fleet, 0, 999);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt.attempt;
+  tick (fleet, 500 * GS_US_PER_MS);
+  end_attempt (fleet, core, attempt, GS_OUTCOME_OK);
+}
+
+/* Guards against a request that waits for a slot until the daemon exits, and whose caller then gets
+ * a closed connection. */
+START_TEST (waiting_request_is_refused_when_a_planned_stop_leaves_it_no_time)
+{
+  for (int core = 0; core < DAEMONS; core++)
+    {
+      Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+      const GsEffect *reject;
+      int from;
+
+      learn_duration (fleet);
+      for (uint64_t i = 1; i <= 3; i++)
+        request (fleet, core, i);
+      ck_assert_uint_eq (gs_core_in_flight (fleet->cores[core]), 3);
+      take_effect (fleet, GS_EFFECT_REJECT, NULL);
+      stop_daemon (fleet, core, 700 * GS_US_PER_MS);
+      reject = take_effect (fleet, GS_EFFECT_REJECT, &from);
+      ck_assert_ptr_nonnull (reject);
+      ck_assert_int_eq (from, core);
+      ck_assert_uint_eq (reject->reject.request, 3);
+      ck_assert_uint_eq (reject->reject.status, 503);
+      ck_assert_int_eq (reject->reject.verdict, GS_VERDICT_NOT_RUN);
+      ck_assert_uint_eq (reject->reject.retry_after_ms, GS_STOPPING_RETRY_AFTER_MS);
+      ck_assert_ptr_null (take_effect (fleet, GS_EFFECT_REJECT, NULL));
+      fleet_free (fleet);
+    }
+}
+END_TEST
+
+/* Guards against refusing, at a planned stop, a request that can be answered before its end. */
+START_TEST (waiting_request_that_has_time_during_a_planned_stop_keeps_its_place)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  uint64_t attempt;
+  int core;
+
+  learn_duration (fleet);
+  request (fleet, 0, 1);
+  attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt.attempt;
+  for (uint64_t i = 2; i <= 4; i++)
+    request (fleet, 0, i);
+  stop_daemon (fleet, 0, 2200 * GS_US_PER_MS);
+  ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 4);
+  while (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL) != NULL)
+    ;
+  end_attempt (fleet, core, attempt, GS_OUTCOME_OK);
+  ck_assert_uint_eq (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.request, 3);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against taking a request late in a planned stop that cannot be answered before its end. */
+START_TEST (request_that_comes_too_late_in_a_planned_stop_is_refused_at_once)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  const GsEffect *reject;
+
+  learn_duration (fleet);
+  take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  stop_daemon (fleet, 0, 2000 * GS_US_PER_MS);
+  tick (fleet, 1600 * GS_US_PER_MS);
+  request (fleet, 0, 1);
+  reject = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+  ck_assert_ptr_nonnull (reject);
+  ck_assert_uint_eq (reject->reject.status, 503);
+  ck_assert_int_eq (reject->reject.verdict, GS_VERDICT_NOT_RUN);
+  ck_assert_uint_eq (reject->reject.retry_after_ms, GS_STOPPING_RETRY_AFTER_MS);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against handing an upstream more time than the daemon has left to pass its answer on. */
+START_TEST (attempt_lasts_no_longer_than_a_planned_stop)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
+  const GsEffect *effect;
+
+  stop_daemon (fleet, 0, 1000 * GS_US_PER_MS);
+  request (fleet, 0, 1);
+  effect = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL);
+  ck_assert_int_eq (effect->attempt.deadline_us, fleet->now_us + 1000 * GS_US_PER_MS);
+  ck_assert_int_eq (effect->attempt.timeout_us, 1000 * GS_US_PER_MS);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Guards against a request without an answer at the end of a planned stop, and against one that is
+ * called not-run although an upstream may have run it. */
+START_TEST (requests_that_run_at_the_end_of_a_planned_stop_may_have_run)
+{
+  static const struct
+  {
+    GsOutcome outcome;
+    GsVerdict verdict;
+    uint16_t status;
+  } cases[] = { { GS_OUTCOME_STOPPED, GS_VERDICT_MAY_HAVE_RUN, 504 },
+                { GS_OUTCOME_UNREACHABLE, GS_VERDICT_NOT_RUN, 503 } };
+
+  for (int repeat = GS_REPEAT_SAFE; repeat <= GS_REPEAT_ONCE; repeat++)
+    for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+      {
+        Fleet *fleet = fleet_new ((GsRepeat)repeat, 2);
+        const GsEffect *reject;
+        uint64_t attempt;
+        int core;
+
+        request (fleet, 0, 1);
+        attempt = take_effect (fleet, GS_EFFECT_ATTEMPT, &core)->attempt.attempt;
+        stop_daemon (fleet, 0, 1000 * GS_US_PER_MS);
+        tick (fleet, 1000 * GS_US_PER_MS);
+        stop_daemon (fleet, 0, 0);
+        end_attempt (fleet, core, attempt, cases[i].outcome);
+        reject = take_effect (fleet, GS_EFFECT_REJECT, NULL);
+        ck_assert_ptr_nonnull (reject);
+        ck_assert_int_eq (reject->reject.verdict, cases[i].verdict);
+        ck_assert_uint_eq (reject->reject.status, cases[i].status);
+        ck_assert_uint_eq (outstanding (fleet), 0);
+        ck_assert_uint_eq (gs_core_in_flight (fleet->cores[0]), 0);
+        fleet_free (fleet);
+      }
+}
+END_TEST
+
 START_TEST (upstream_registered_as_leaving_gets_no_requests)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1);
@@ -1192,6 +1336,11 @@
               &late_attempt_that_is_being_answered_is_not_replaced,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
+              &waiting_request_is_refused_when_a_planned_stop_leaves_it_no_time,
+              &waiting_request_that_has_time_during_a_planned_stop_keeps_its_place,
+              &request_that_comes_too_late_in_a_planned_stop_is_refused_at_once,
+              &attempt_lasts_no_longer_than_a_planned_stop,
+              &requests_that_run_at_the_end_of_a_planned_stop_may_have_run,
               &upstream_registered_as_leaving_gets_no_requests,
               &upstream_that_announced_leaving_gets_no_requests_of_any_daemon,
               &upstream_that_registers_as_serving_again_gets_requests,
