One limit of callers, which readiness, lookups, accepting and refusing know

Cause: max_callers was known to libmicrohttpd only, which leaves its listening socket alone at its limit. The default, 1,024, was a quarter of the descriptors.

Fix: config/descriptors derives the limit from the process's descriptors, for callers and, with the same number, for connections to upstreams. At the limit a daemon is not ready, membership announces that it is full (it goes on as a home), a few more connections are accepted to answer 503 not-run with Retry-After, all others are closed at once. All bodies together have a limit; one that does not fit is refused unread.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -280,18 +280,31 @@
 bool
 gs_core_ready (const GsCore *core)
 {
-  return gs_config_log_is_complete (core->config_log) && !core->stopping;
+  return gs_config_log_is_complete (core->config_log) && !core->callers_full && !core->stopping;
 }
 
+bool
+gs_core_has_ready_peer (const GsCore *core)
+{
+  for (uint32_t i = 1; i < gs_members_count (core->members); i++)
+    if (gs_members_takes_callers (core->members, i))
+      return true;
+  return false;
+}
+
+/* A daemon that is full or stops goes on as a home. */
 static void
 update_ready (GsCore *core)
 {
   bool ready = gs_core_ready (core);
 
   if (ready != core->was_ready)
-    core_log_event (core, GS_LOG_EVENT_READY_CHANGED, "ready=%s", ready ? "true" : "false");
+    core_log_event (core, GS_LOG_EVENT_READY_CHANGED, "ready=%s callers=%s",
+                    ready ? "true" : "false", core->callers_full ? "full" : "accepted");
   core->was_ready = ready;
-  gs_members_set_ready (core->members, ready || core->stopping);
+  gs_members_set_ready (core->members,
+                        gs_config_log_is_complete (core->config_log) || core->stopping);
+  gs_members_set_full (core->members, core->callers_full);
 }
 
 static void
@@ -473,11 +486,12 @@
   for (uint32_t i = 0; i < state->n_homes && answer->n_members < GS_ADDRESS_LOOKUP_MAX; i++)
     {
       uint32_t index = state->homes[i];
-      if (index != 0 && !gs_members_reachable (core->members, index))
+      const GsMemberInfo *home = gs_members_get (core->members, index);
+      if (home->full != 0 || (index != 0 && !gs_members_reachable (core->members, index)))
         continue;
-      answer->members[answer->n_members++] = *gs_members_get (core->members, index);
+      answer->members[answer->n_members++] = *home;
     }
-  if (answer->n_members == 0 && !core->stopping)
+  if (answer->n_members == 0 && !core->stopping && !core->callers_full)
     answer->members[answer->n_members++] = *gs_members_get (core->members, 0);
 }
 
@@ -492,8 +506,7 @@
       uint32_t index = (start + i) % count;
       const GsMemberInfo *member = gs_members_get (core->members, index);
       bool local = strcmp (member->failure_domain, failure_domain) == 0;
-      if (member->state == GS_MEMBER_ALIVE && member->ready != 0
-          && gs_members_reachable (core->members, index) && local == !answer->other_domains)
+      if (gs_members_takes_callers (core->members, index) && local == !answer->other_domains)
         answer->members[answer->n_members++] = *member;
     }
 }
@@ -518,7 +531,7 @@
                                              GS_ADDRESS_LOOKUP_MAX, indexes);
 
   for (uint32_t i = 0; i < count; i++)
-    if (gs_members_reachable (core->members, indexes[i]))
+    if (gs_members_takes_callers (core->members, indexes[i]))
       answer->members[answer->n_members++] = *gs_members_get (core->members, indexes[i]);
 }
 
@@ -556,6 +569,8 @@
       PoolState *state = core_pool_state (core, row);
       core_refresh_homes (core, state);
       list_homes (core, state, &answer);
+      if (answer.n_members == 0)
+        list_any_members (core, &answer);
       answer.repeat = route->repeat;
       answer.query_home = route->repeat == GS_REPEAT_NEVER && !state->is_home && !event->answer_here
                           && answer.n_members > 0
@@ -718,6 +733,10 @@
     case GS_EVENT_UPSTREAM_REPORT:
       handle_upstream_report (core, &event->upstream_report);
       break;
+    case GS_EVENT_CALLERS_FULL:
+      core->callers_full = event->callers_full;
+      update_ready (core);
+      break;
     case GS_EVENT_STOP:
       stop (core, event->stop_by_us);
       break;
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -93,6 +93,7 @@
   GS_EVENT_SLOT_RESULT,
   GS_EVENT_RETRY_ACCOUNT,
   GS_EVENT_STOP,
+  GS_EVENT_CALLERS_FULL,
 } GsEventKind;
 
 /** Retries that one scheduler of a pool granted, sent to the pool's homes. */
@@ -258,6 +259,7 @@
       bool duplicate; /**< for a home that did not grant the slot; its loss matters little */
     } slot_result;
     GsRetryAccountUpdate retry_account;
+    bool callers_full;  /**< whether this daemon has as many callers as it can take */
     int64_t stop_by_us; /**< when every request must have its answer; earlier if sent again */
   };
 } GsEvent;
@@ -426,9 +428,13 @@
 /** RETURN VALUE: number of requests received and not yet answered. */
 uint32_t gs_core_in_flight (const GsCore *core);
 
-/** RETURN VALUE: true when this daemon has the tables and is not stopping. */
+/** RETURN VALUE: true when this daemon has the tables, can take more callers and is not stopping.
+ */
 bool gs_core_ready (const GsCore *core);
 
+/** RETURN VALUE: whether another daemon takes callers. */
+bool gs_core_has_ready_peer (const GsCore *core);
+
 /** RETURN VALUE: state for the administration API; owned by the core. */
 const GsTable *gs_core_table (const GsCore *core);
 const GsConfigLog *gs_core_config_log (const GsCore *core);
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -178,6 +178,7 @@
   uint64_t owned_partitions; /* bit set, valid for owned_epoch */
   uint64_t owned_epoch;
   bool was_ready;
+  bool callers_full;
   bool stopping;
   int64_t stop_by_us; /* while stopping: latest deadline of a request */
   GsEffects *effects; /* of the event in progress */
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -102,7 +102,8 @@
   if (info->state == GS_MEMBER_DEAD)
     return 0;
   return gs_mix64 (gs_hash_name (info->id) ^ gs_mix64 (info->incarnation)
-                   ^ ((uint64_t)info->version << 16 | (uint64_t)info->state << 8 | info->ready));
+                   ^ ((uint64_t)info->version << 16 | (uint64_t)info->state << 8
+                      | (uint64_t)info->full << 1 | info->ready));
 }
 
 static void
@@ -586,31 +587,45 @@
   send_message (members, address, GS_MEMBER_MESSAGE_PULL, 0, NULL);
 }
 
+/* Announces INFO, which is this daemon's with changes, if there are any. */
 static void
-announce (GsMembers *members, GsMemberState state, bool ready)
+announce (GsMembers *members, GsMemberInfo *info)
 {
   Member *self = member_at (members, 0);
-  GsMemberInfo info = self->info;
 
-  if (info.state == state && info.ready == (ready ? 1 : 0))
+  if (info->state == self->info.state && info->ready == self->info.ready
+      && info->full == self->info.full)
     return;
-  info.state = (uint8_t)state;
-  info.ready = ready ? 1 : 0;
-  info.version++;
-  store_info (members, self, &info);
+  info->version++;
+  store_info (members, self, info);
   members->next_period_us = 0; /* send at the next tick */
 }
 
 void
 gs_members_set_ready (GsMembers *members, bool ready)
 {
-  announce (members, (GsMemberState)member_at (members, 0)->info.state, ready);
+  GsMemberInfo info = member_at (members, 0)->info;
+
+  info.ready = ready ? 1 : 0;
+  announce (members, &info);
+}
+
+void
+gs_members_set_full (GsMembers *members, bool full)
+{
+  GsMemberInfo info = member_at (members, 0)->info;
+
+  info.full = full ? 1 : 0;
+  announce (members, &info);
 }
 
 void
 gs_members_leave (GsMembers *members)
 {
-  announce (members, GS_MEMBER_LEAVING, member_at (members, 0)->info.ready != 0);
+  GsMemberInfo info = member_at (members, 0)->info;
+
+  info.state = GS_MEMBER_LEAVING;
+  announce (members, &info);
 }
 
 void
@@ -658,6 +673,15 @@
   return member_at (members, index)->unreachable_until_us <= members->now_us;
 }
 
+bool
+gs_members_takes_callers (const GsMembers *members, uint32_t index)
+{
+  const GsMemberInfo *info = &member_at (members, index)->info;
+
+  return info->state == GS_MEMBER_ALIVE && info->ready != 0 && info->full == 0
+         && gs_members_reachable (members, index);
+}
+
 void
 gs_members_record_path (GsMembers *members, const char *id, bool works, int64_t now_us)
 {
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -50,6 +50,7 @@
   uint32_t version;     /**< increases with each change and refutation */
   uint8_t state;        /**< GsMemberState */
   uint8_t ready;        /**< 1: has the tables, may be in address lookups */
+  uint8_t full;         /**< 1: has as many callers as it can take; not in address lookups */
   uint16_t millicores;  /**< CPU share that its instance gives it */
 } GsMemberInfo;
 
@@ -114,6 +115,13 @@
 /** Sets whether address lookups may return this daemon. */
 void gs_members_set_ready (GsMembers *members, bool ready);
 
+/** Announces whether this daemon can take no more callers. */
+void gs_members_set_full (GsMembers *members, bool full);
+
+/** RETURN VALUE: whether address lookups may list the member at INDEX: it is alive, ready,
+ * reachable and not full. */
+bool gs_members_takes_callers (const GsMembers *members, uint32_t index);
+
 /** Announces that this daemon is leaving. */
 void gs_members_leave (GsMembers *members);
 
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -29,6 +29,7 @@
 struct GsEngine
 {
   const GsSettings *settings;
+  GsDescriptors descriptors;
   struct ev_loop *loop;
   GThread *loop_thread;
   GMutex lock; /* protects the core, its effects, the handlers and the deliveries */
@@ -702,6 +703,7 @@
   engine->loop = options->loop;
   engine->loop_thread = g_thread_self ();
   engine->settings = settings;
+  engine->descriptors = gs_descriptors_divide (gs_descriptors_limit (), settings->max_callers);
   engine->parse_tables = options->parse_tables != NULL ? options->parse_tables : gs_tables_parse;
   engine->incarnation = (uint64_t)g_get_real_time ();
   engine->handlers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
@@ -760,6 +762,12 @@
   return engine->settings;
 }
 
+const GsDescriptors *
+gs_engine_descriptors (const GsEngine *engine)
+{
+  return &engine->descriptors;
+}
+
 struct ev_loop *
 gs_engine_loop (const GsEngine *engine)
 {
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -13,6 +13,7 @@
 #include <ev.h>
 #include <glib.h>
 
+#include "../config/descriptors.h"
 #include "../config/settings.h"
 #include "../core/core.h"
 
@@ -88,6 +89,10 @@
 bool gs_engine_stopping (const GsEngine *engine);
 
 const GsSettings *gs_engine_settings (const GsEngine *engine);
+
+/** RETURN VALUE: how many connections of each use the daemon may have. */
+const GsDescriptors *gs_engine_descriptors (const GsEngine *engine);
+
 struct ev_loop *gs_engine_loop (const GsEngine *engine);
 uint64_t gs_engine_incarnation (const GsEngine *engine);
 
--- a/src/gentian/http/client.c
+++ b/src/gentian/http/client.c
@@ -13,13 +13,41 @@
   GHashTable *idle; /* address -> GQueue of GsConnection, the last used one first */
   GsClientOptions options;
   ev_timer sweep;
+  uint32_t n_connections;
 };
 
+/* Closes the idle connection that expires first, if there is one. */
+static void
+close_first_to_expire (GsClient *client)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GQueue *found = NULL;
+  int64_t found_until_us = INT64_MAX;
+
+  g_hash_table_iter_init (&iter, client->idle);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const GsConnection *last = g_queue_peek_tail (value);
+      if (last == NULL || last->idle_until_us >= found_until_us)
+        continue;
+      found = value;
+      found_until_us = last->idle_until_us;
+    }
+  if (found != NULL)
+    gs_connection_free (g_queue_pop_tail (found));
+}
+
 GsConnection *
-gs_connection_new (void)
+gs_connection_new (GsClient *client)
 {
   GsConnection *connection = g_new0 (GsConnection, 1);
 
+  if (client->options.max_connections != 0
+      && client->n_connections >= client->options.max_connections)
+    close_first_to_expire (client);
+  client->n_connections++;
+  connection->client = client;
   connection->socket = -1;
   return connection;
 }
@@ -27,6 +55,7 @@
 void
 gs_connection_free (GsConnection *connection)
 {
+  connection->client->n_connections--;
   if (connection->socket >= 0)
     close (connection->socket);
   if (connection->names != NULL)
@@ -95,6 +124,12 @@
   g_free (client);
 }
 
+uint32_t
+gs_client_n_connections (const GsClient *client)
+{
+  return client->n_connections;
+}
+
 const GsClientOptions *
 gs_client_options (const GsClient *client)
 {
@@ -162,7 +197,7 @@
         return connection;
       gs_connection_free (connection);
     }
-  return gs_connection_new ();
+  return gs_connection_new (client);
 }
 
 void
--- a/src/gentian/http/client.h
+++ b/src/gentian/http/client.h
@@ -27,7 +27,8 @@
 typedef struct
 {
   struct ev_loop *loop;
-  uint32_t max_idle;           /**< idle connections kept open to one address */
+  uint32_t max_idle;        /**< idle connections kept open to one address */
+  uint32_t max_connections; /**< with so many open, idle ones are closed for new; 0: any number */
   uint32_t connect_timeout_ms; /**< 0: 1000 */
   uint32_t idle_ms;            /**< idle timeout if the server states none; 0: unlimited */
   bool allow_unframed;         /**< an answer without a length ends with its connection */
@@ -37,6 +38,7 @@
 /** One connection. */
 typedef struct
 {
+  GsClient *client;
   int socket;            /**< -1: not opened */
   bool reused;           /**< it has carried an exchange before */
   bool had_head_request; /**< one of these was a HEAD request */
@@ -47,6 +49,9 @@
 GsClient *gs_client_new (const GsClientOptions *options);
 void gs_client_free (GsClient *client);
 
+/** RETURN VALUE: number of connections, in use and idle. */
+uint32_t gs_client_n_connections (const GsClient *client);
+
 const GsClientOptions *gs_client_options (const GsClient *client);
 
 /** RETURN VALUE: the last used idle connection to the address that has carried no request of the
@@ -57,8 +62,9 @@
 /** Notes that CONNECTION has carried a request with this hash of its name. */
 void gs_connection_add_name (GsConnection *connection, uint64_t name);
 
-/** RETURN VALUE: a new connection that is not opened. */
-GsConnection *gs_connection_new (void);
+/** RETURN VALUE: a new connection that is not opened. At max_connections, the idle one that expires
+ * first is closed. */
+GsConnection *gs_connection_new (GsClient *client);
 
 /** Closes and frees CONNECTION. */
 void gs_connection_free (GsConnection *connection);
--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -14,6 +14,8 @@
 {
   ENTRY_IDLE_S = 75, /* above the longest idle timeout of callers in any tables, 15 s */
   ENTRY_REFUSAL_BYTES_MAX = 400,
+  ENTRY_FULL_RETRY_MIN_MS = 500, /* while every daemon is full */
+  ENTRY_FULL_RETRY_MAX_MS = 1500,
 };
 
 /** Period at which the connections of suspended requests are checked: a caller that has closed
@@ -28,9 +30,10 @@
   GQueue requests;  /* of EntryRequest, by their links: all that are in flight */
   GQueue suspended; /* of GsProxyRequest, by their links */
   ev_timer caller_check;
-  bool refusing;    /* new requests are refused because the daemon is about to exit */
-  bool closing;     /* the server is being stopped; no connection may be suspended any more */
-  uint32_t n_ended; /* attempts that were ended for the daemon's exit */
+  bool refusing;       /* new requests are refused because the daemon is about to exit */
+  bool closing;        /* the server is being stopped; no connection may be suspended any more */
+  uint32_t n_ended;    /* attempts that were ended for the daemon's exit */
+  size_t bodies_bytes; /* of all requests in flight */
 };
 
 /* A request and the entry that it belongs to. */
@@ -105,6 +108,88 @@
     ev_timer_stop (loop, watcher);
 }
 
+/* Requests whose answer has been sent are no longer in flight. */
+static void
+remove_from_flight (EntryRequest *owned)
+{
+  if (owned->link.data == NULL)
+    return;
+  g_queue_unlink (&owned->entry->requests, &owned->link);
+  owned->link.data = NULL;
+}
+
+static void
+release_body (GsProxyRequest *request)
+{
+  entry_of (request)->bodies_bytes -= request->body->len;
+  g_byte_array_unref (request->body);
+  request->body = g_byte_array_new ();
+}
+
+/* libmicrohttpd takes no answer to a request that it is still reading, so this one goes around it.
+ * The answers to earlier requests on the connection have been sent. */
+static void
+refuse_unread (EntryRequest *owned, const char *reason, uint32_t retry_after_ms)
+{
+  g_autofree char *body = g_strdup_printf ("{\"verdict\":\"not-run\",\"reason\":\"%s\"}\n", reason);
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (owned->request.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char answer[ENTRY_REFUSAL_BYTES_MAX];
+  int length = g_snprintf (answer, sizeof answer,
+                           "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                           "Gentian-Verdict: %s\r\nRetry-After: %u.%03u\r\n"
+                           "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+                           gs_verdict_name (GS_VERDICT_NOT_RUN), retry_after_ms / 1000,
+                           retry_after_ms % 1000, strlen (body), body);
+  bool sent
+      = info != NULL
+        && send (info->connect_fd, answer, (size_t)length, MSG_NOSIGNAL | MSG_DONTWAIT) == length;
+
+  gs_log (GS_LOG_EVENT_REQUEST_REFUSED, "status=503 reason=%s unread=yes sent=%s", reason,
+          sent ? "yes" : "no");
+  owned->refused_unread = true;
+  remove_from_flight (owned);
+  release_body (&owned->request);
+  if (!sent)
+    return;
+  gs_counter_add (GS_COUNTER_REJECTED_NOT_RUN, 1);
+  shutdown (info->connect_fd, SHUT_WR);
+}
+
+/* Time after which a caller that is refused because the entry is full may try again: at once, if
+ * another daemon takes callers. */
+static uint32_t
+full_retry_after_ms (GsEntry *entry)
+{
+  bool elsewhere = gs_core_has_ready_peer (gs_engine_lock (entry->engine));
+
+  gs_engine_unlock (entry->engine);
+  return elsewhere
+             ? GS_STOPPING_RETRY_AFTER_MS
+             : (uint32_t)g_random_int_range (ENTRY_FULL_RETRY_MIN_MS, ENTRY_FULL_RETRY_MAX_MS);
+}
+
+/* Refuses a request whose body has not come yet, if it must be refused whatever that is. */
+static void
+refuse_body (GsProxyRequest *request)
+{
+  GsEntry *entry = entry_of (request);
+  const char *length = gs_request_head_get (request, "Content-Length");
+  bool has_body = (length != NULL && strcmp (length, "0") != 0)
+                  || gs_request_head_get (request, "Transfer-Encoding") != NULL;
+
+  if (has_body && entry->refusing)
+    refuse_unread ((EntryRequest *)(void *)request, "stopping", GS_STOPPING_RETRY_AFTER_MS);
+  else if (has_body && gs_server_is_excess (request->connection))
+    refuse_unread ((EntryRequest *)(void *)request, "callers-full", full_retry_after_ms (entry));
+}
+
+static bool
+was_refused_unread (const GsProxyRequest *request)
+{
+  return ((const EntryRequest *)(const void *)request)->refused_unread;
+}
+
 /* RETURN VALUE: whether the request's head is within the limit that the tables set. */
 static bool
 head_fits (const GsProxyRequest *request, const GsCallerLimits *limits)
@@ -129,14 +214,24 @@
   return length == NULL || g_ascii_strtoull (length, NULL, 10) == request->body->len;
 }
 
-/* Appends to the body, up to one byte above the limit: body_fits then detects the excess. */
+/* Appends to the body, up to one byte above the limit: body_fits then detects the excess. Refuses
+ * the request if the bodies of all would become too large together. */
 static void
 append_body (GsProxyRequest *request, const char *bytes, size_t length)
 {
-  size_t max = (size_t)gs_engine_settings (request->context->engine)->max_body_bytes + 1;
-  size_t left = max - MIN (max, request->body->len);
+  GsEntry *entry = entry_of (request);
+  const GsSettings *settings = gs_engine_settings (entry->engine);
+  size_t max = (size_t)settings->max_body_bytes + 1;
+  size_t added = MIN (length, max - MIN (max, request->body->len));
 
-  g_byte_array_append (request->body, (const guint8 *)bytes, (guint)MIN (length, left));
+  if (entry->bodies_bytes + added > settings->max_bodies_bytes)
+    {
+      refuse_unread ((EntryRequest *)(void *)request, "bodies-too-large",
+                     full_retry_after_ms (entry));
+      return;
+    }
+  entry->bodies_bytes += added;
+  g_byte_array_append (request->body, (const guint8 *)bytes, (guint)added);
 }
 
 static void
@@ -154,6 +249,8 @@
     gs_proxy_request_refuse (request, 400, reason, 0);
   else if (entry->refusing)
     gs_proxy_request_refuse (request, 503, "stopping", GS_STOPPING_RETRY_AFTER_MS);
+  else if (gs_server_is_excess (request->connection))
+    gs_proxy_request_refuse (request, 503, "callers-full", full_retry_after_ms (entry));
   else if (!head_fits (request, &limits))
     gs_proxy_request_refuse (request, 431, "head-too-large", 0);
   else if (!body_fits (request, &limits))
@@ -222,7 +319,8 @@
     return MHD_NO;
   if (request->response == NULL)
     return suspend (request) ? MHD_YES : MHD_NO;
-  if (request->misframed || gs_engine_stopping (request->context->engine))
+  if (request->misframed || gs_engine_stopping (request->context->engine)
+      || gs_server_is_excess (request->connection))
     MHD_add_response_header (request->response, "Connection", "close");
   echo_attempt (request);
   if (request->engine_id != 0)
@@ -233,12 +331,6 @@
   return result;
 }
 
-static bool
-was_refused_unread (const GsProxyRequest *request)
-{
-  return ((const EntryRequest *)(const void *)request)->refused_unread;
-}
-
 static enum MHD_Result
 on_request (void *data,
             struct MHD_Connection *connection,
@@ -259,6 +351,7 @@
       request->connection = connection;
       request->method = g_strdup (method);
       request->http_1_0 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+      refuse_body (request);
       return MHD_YES;
     }
   if (*upload_length > 0)
@@ -302,45 +395,6 @@
   return request;
 }
 
-/* Requests whose answer has been sent are no longer in flight. */
-static void
-remove_from_flight (EntryRequest *owned)
-{
-  if (owned->link.data == NULL)
-    return;
-  g_queue_unlink (&owned->entry->requests, &owned->link);
-  owned->link.data = NULL;
-}
-
-/* libmicrohttpd takes no answer to a request that it is still reading, so this one goes around it.
- * The answers to earlier requests on the connection have been sent. */
-static void
-refuse_unread (EntryRequest *owned)
-{
-  static const char body[] = "{\"verdict\":\"not-run\",\"reason\":\"stopping\"}\n";
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (owned->request.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char answer[ENTRY_REFUSAL_BYTES_MAX];
-  int length = g_snprintf (answer, sizeof answer,
-                           "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-                           "Gentian-Verdict: %s\r\nRetry-After: 0.%03u\r\n"
-                           "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
-                           gs_verdict_name (GS_VERDICT_NOT_RUN), GS_STOPPING_RETRY_AFTER_MS,
-                           sizeof body - 1, body);
-  bool sent
-      = info != NULL
-        && send (info->connect_fd, answer, (size_t)length, MSG_NOSIGNAL | MSG_DONTWAIT) == length;
-
-  gs_log (GS_LOG_EVENT_REQUEST_REFUSED, "status=503 reason=stopping unread=yes sent=%s",
-          sent ? "yes" : "no");
-  owned->refused_unread = true;
-  remove_from_flight (owned);
-  if (!sent)
-    return;
-  gs_counter_add (GS_COUNTER_REJECTED_NOT_RUN, 1);
-  shutdown (info->connect_fd, SHUT_WR);
-}
-
 static void
 on_request_complete (void *data,
                      struct MHD_Connection *connection,
@@ -356,11 +410,21 @@
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->streaming)
     request->stream_failed = true;
   remove_from_flight ((EntryRequest *)(void *)request);
+  release_body (request);
   gs_proxy_request_clear (request);
   g_free (request);
   *context = NULL;
 }
 
+static void
+on_full_changed (void *data, bool full)
+{
+  GsEntry *entry = data;
+  GsEvent event = { .kind = GS_EVENT_CALLERS_FULL, .callers_full = full };
+
+  gs_engine_post (entry->engine, &event);
+}
+
 static void
 drop_connections (uint32_t ipv4, uint16_t port, void *data)
 {
@@ -374,7 +438,8 @@
 {
   static const GsServerClass class = { .handle = on_request,
                                        .begun = on_request_begin,
-                                       .completed = on_request_complete };
+                                       .completed = on_request_complete,
+                                       .full_changed = on_full_changed };
   GsEngine *engine = options->engine;
   const GsSettings *settings = gs_engine_settings (engine);
   GsEntry *entry = g_new0 (GsEntry, 1);
@@ -384,11 +449,12 @@
                              .loop = gs_engine_loop (engine),
                              .ipv4 = settings->address,
                              .port = (uint16_t)settings->entry_port,
-                             .max_connections = settings->max_callers,
+                             .max_connections = gs_engine_descriptors (engine)->callers,
                              .idle_s = ENTRY_IDLE_S };
 
   client.loop = gs_engine_loop (engine);
   client.max_idle = settings->connections_per_upstream;
+  client.max_connections = gs_engine_descriptors (engine)->upstreams;
   entry->engine = engine;
   entry->context
       = (GsProxyContext){ .engine = engine,
@@ -427,7 +493,7 @@
       EntryRequest *owned = link->data;
       next = link->next;
       if (!owned->request.submitted)
-        refuse_unread (owned);
+        refuse_unread (owned, "stopping", GS_STOPPING_RETRY_AFTER_MS);
     }
 }
 
--- a/src/gentian/http/entry.h
+++ b/src/gentian/http/entry.h
@@ -26,7 +26,7 @@
 {
   GsEngine *engine;
   const GsHeaderNames *header_names; /**< NULL: gs_header_names_default */
-  GsClientOptions client;            /**< `loop` and `max_idle` are overwritten */
+  GsClientOptions client;            /**< its loop and numbers of connections are overwritten */
 } GsEntryOptions;
 
 /** RETURN VALUE: a started server, or NULL with ERROR when it cannot listen on the port. */
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -305,7 +305,7 @@
 {
   watch_socket (exchange, 0);
   gs_connection_free (exchange->connection);
-  exchange->connection = gs_connection_new ();
+  exchange->connection = gs_connection_new (exchange->client);
   exchange->reused_connection = false;
   exchange->sent = false;
   open_connection (exchange, g_get_monotonic_time ());
@@ -745,7 +745,7 @@
   exchange->parser = gs_answer_parser_new (&parser);
   exchange->buffer = g_byte_array_new ();
   exchange->connection = options->new_connection || exchange->echo == NULL
-                             ? gs_connection_new ()
+                             ? gs_connection_new (client)
                              : gs_client_acquire (client, options->ipv4, options->port,
                                                   gs_hash_name (exchange->echo));
   exchange->reused_connection = exchange->connection->reused;
--- a/src/gentian/http/server.c
+++ b/src/gentian/http/server.c
@@ -10,10 +10,15 @@
   SERVER_BACKLOG = 1024,
   SERVER_MEMORY_BYTES = 32 * 1024, /* per connection, for its headers */
   SERVER_ROUNDS = 8,               /* of MHD_run before the loop handles other events */
+  SERVER_EXCESS_MAX = 64,          /* connections accepted by a full server, to refuse requests */
+  SERVER_EXCESS_IDLE_S = 1,
+  SERVER_FULL_HYSTERESIS = 10, /* a tenth of the limit */
 };
 
-/** Period at which connections are checked for those that have been idle for too long. */
+/** Period at which connections are checked for those that have been idle for too long, and the same
+ * of a full server. */
 #define SERVER_IDLE_CHECK_S 5.0
+#define SERVER_FULL_IDLE_CHECK_S 1.0
 
 struct GsServer
 {
@@ -21,8 +26,23 @@
   struct MHD_Daemon *daemon;
   ev_io ready;
   ev_timer idle_check;
+  const GsServerClass *class;
+  void *data;
+  uint32_t max_connections;
+  uint32_t n_connections;
+  bool full;
 };
 
+static void
+start_idle_check (GsServer *server, double after_s)
+{
+  double period_s = server->full ? SERVER_FULL_IDLE_CHECK_S : SERVER_IDLE_CHECK_S;
+
+  ev_timer_stop (server->loop, &server->idle_check);
+  ev_timer_set (&server->idle_check, after_s, period_s);
+  ev_timer_start (server->loop, &server->idle_check);
+}
+
 /* Lets libmicrohttpd handle what is ready. Returns to the loop after SERVER_ROUNDS with more to do;
  * the timer then continues at once. */
 static void
@@ -36,9 +56,7 @@
       if (MHD_get_timeout (server->daemon, &left_ms) != MHD_YES || left_ms > 0)
         return;
     }
-  ev_timer_stop (server->loop, &server->idle_check);
-  ev_timer_set (&server->idle_check, 0., SERVER_IDLE_CHECK_S);
-  ev_timer_start (server->loop, &server->idle_check);
+  start_idle_check (server, 0.);
 }
 
 static void
@@ -57,6 +75,65 @@
   run_daemon (watcher->data);
 }
 
+static void
+update_full (GsServer *server)
+{
+  uint32_t limit = server->max_connections;
+  bool full
+      = server->n_connections >= (server->full ? limit - limit / SERVER_FULL_HYSTERESIS : limit);
+
+  if (full == server->full)
+    return;
+  server->full = full;
+  start_idle_check (server, full ? SERVER_FULL_IDLE_CHECK_S : SERVER_IDLE_CHECK_S);
+  if (server->class->full_changed != NULL)
+    server->class->full_changed (server->data, full);
+}
+
+static void
+on_connection (void *data,
+               struct MHD_Connection *connection,
+               void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  GsServer *server = data;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      if (server->n_connections >= server->max_connections)
+        {
+          *context = server;
+          MHD_set_connection_option (connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                     SERVER_EXCESS_IDLE_S);
+        }
+      server->n_connections++;
+    }
+  else
+    server->n_connections--;
+  update_full (server);
+}
+
+/* libmicrohttpd closes a connection that is not accepted here. At its own limit, which is above
+ * this one, it would leave them in the backlog. */
+static enum MHD_Result
+on_accept (void *data, const struct sockaddr *address, socklen_t length)
+{
+  const GsServer *server = data;
+
+  (void)address;
+  (void)length;
+  return server->n_connections < server->max_connections + SERVER_EXCESS_MAX ? MHD_YES : MHD_NO;
+}
+
+bool
+gs_server_is_excess (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info != NULL && info->socket_context != NULL;
+}
+
 static bool
 start (GsServer *server, const GsServerOptions *options)
 {
@@ -66,7 +143,9 @@
   const GsServerClass *class = options->class;
   struct MHD_OptionItem items[] = {
     { MHD_OPTION_SOCK_ADDR, 0, &address },
-    { MHD_OPTION_CONNECTION_LIMIT, (intptr_t)options->max_connections, NULL },
+    { MHD_OPTION_CONNECTION_LIMIT,
+      (intptr_t)options->max_connections + SERVER_EXCESS_MAX + SERVER_EXCESS_MAX, NULL },
+    { MHD_OPTION_NOTIFY_CONNECTION, (intptr_t)on_connection, server },
     { MHD_OPTION_CONNECTION_MEMORY_LIMIT, SERVER_MEMORY_BYTES, NULL },
     { MHD_OPTION_CONNECTION_TIMEOUT, (intptr_t)options->idle_s, NULL },
     { MHD_OPTION_LISTEN_BACKLOG_SIZE, SERVER_BACKLOG, NULL },
@@ -77,9 +156,9 @@
     { MHD_OPTION_END, 0, NULL },
   };
 
-  server->daemon
-      = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options->port, NULL, NULL,
-                          class->handle, options->data, MHD_OPTION_ARRAY, items, MHD_OPTION_END);
+  server->daemon = MHD_start_daemon (MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, options->port,
+                                     on_accept, server, class->handle, options->data,
+                                     MHD_OPTION_ARRAY, items, MHD_OPTION_END);
   return server->daemon != NULL;
 }
 
@@ -90,6 +169,9 @@
   const union MHD_DaemonInfo *info;
 
   server->loop = options->loop;
+  server->class = options->class;
+  server->data = options->data;
+  server->max_connections = options->max_connections;
   if (!start (server, options))
     {
       g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "cannot listen on port %u",
@@ -99,11 +181,11 @@
     }
   info = MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   ev_io_init (&server->ready, on_ready, info->epoll_fd, EV_READ);
-  ev_timer_init (&server->idle_check, on_idle_check, SERVER_IDLE_CHECK_S, SERVER_IDLE_CHECK_S);
+  ev_timer_init (&server->idle_check, on_idle_check, 0., 0.);
   server->ready.data = server;
   server->idle_check.data = server;
   ev_io_start (server->loop, &server->ready);
-  ev_timer_start (server->loop, &server->idle_check);
+  start_idle_check (server, SERVER_IDLE_CHECK_S);
   return server;
 }
 
@@ -129,7 +211,7 @@
     return;
   MHD_run (server->daemon); /* resumed connections must be processed before they can be closed */
   ev_io_stop (server->loop, &server->ready);
-  ev_timer_stop (server->loop, &server->idle_check);
   MHD_stop_daemon (server->daemon);
+  ev_timer_stop (server->loop, &server->idle_check);
   g_free (server);
 }
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -10,7 +10,7 @@
 static void
 pack_member (msgpack_packer *packer, const GsMemberInfo *member)
 {
-  msgpack_pack_array (packer, 10);
+  msgpack_pack_array (packer, member->full != 0 ? 11 : 10); /* `full` came later: 0 is left out */
   gs_msgpack_pack_string (packer, member->id);
   gs_msgpack_pack_string (packer, member->failure_domain);
   msgpack_pack_uint32 (packer, member->ipv4);
@@ -21,6 +21,8 @@
   msgpack_pack_uint8 (packer, member->state);
   msgpack_pack_uint8 (packer, member->ready);
   msgpack_pack_uint16 (packer, member->millicores);
+  if (member->full != 0)
+    msgpack_pack_uint8 (packer, member->full);
 }
 
 static void
@@ -38,6 +40,7 @@
   member->state = (uint8_t)gs_msgpack_read_uint (&item, GS_MEMBER_DEAD);
   member->ready = (uint8_t)gs_msgpack_read_uint (&item, 1);
   member->millicores = (uint16_t)gs_msgpack_read_uint (&item, UINT16_MAX);
+  member->full = item.length > 10 ? (uint8_t)gs_msgpack_read_uint (&item, 1) : 0;
   list->failed = list->failed || item.failed || member->id[0] == '\0';
 }
 
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -304,9 +304,12 @@
       gs_log (GS_LOG_EVENT_START_FAILED, "reason=\"%s\"", error->message);
       return EXIT_START;
     }
-  gs_log (GS_LOG_EVENT_STARTED, "entry_port=%u admin_port=%u peer_port=%u failure_domain=%s",
-          settings->entry_port, settings->admin_port, settings->peer_port,
-          settings->failure_domain);
+  gs_log (GS_LOG_EVENT_STARTED,
+          "entry_port=%u admin_port=%u peer_port=%u failure_domain=%s max_callers=%u "
+          "max_lookups=%u descriptors=%" G_GUINT64_FORMAT,
+          settings->entry_port, settings->admin_port, settings->peer_port, settings->failure_domain,
+          gs_engine_descriptors (services.engine)->callers,
+          gs_engine_descriptors (services.engine)->lookups, gs_descriptors_limit ());
   serve (&services);
   cut = gs_entry_in_flight (services.entry) + gs_entry_n_ended (services.entry);
   if (cut > 0)
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -15,6 +15,9 @@
   UPSTREAMS = 2,
   ANSWER_BYTES_MAX = 4096,
   WAIT_MS = 3000, /* for anything that happens at once */
+  MAX_CALLERS = 16,
+  BODIES_BYTES_MAX = 50000,
+  EXCESS_MAX = 100, /* more than the entry accepts when it is full */
 };
 
 typedef struct
@@ -118,7 +121,8 @@
                                     .admin_key = "",
                                     .store_url = "",
                                     .max_body_bytes = 1 << 20,
-                                    .max_callers = 16,
+                                    .max_bodies_bytes = BODIES_BYTES_MAX,
+                                    .max_callers = MAX_CALLERS,
                                     .connections_per_upstream = 4,
                                     .kept_answers_bytes = 1 << 20 };
   engine.loop = fixture->loop;
@@ -315,6 +319,136 @@
 }
 END_TEST
 
+static bool
+is_ready (EntryFixture *fixture)
+{
+  bool ready = gs_core_ready (gs_engine_lock (fixture->engine));
+
+  gs_engine_unlock (fixture->engine);
+  return ready;
+}
+
+/* RETURN VALUE: whether an address lookup lists the daemon itself. */
+static bool
+is_listed (EntryFixture *fixture)
+{
+  GsAddressLookupEvent lookup = { .failure_domain = "d0" };
+  GsAddressLookupEffect result;
+
+  return gs_engine_look_up_addresses (fixture->engine, lookup, &result) && result.n_members == 1;
+}
+
+/* Guards against a caller that waits in the backlog of an entry that has as many callers as it can
+ * take, says that it is ready and is named to others. */
+START_TEST (full_entry_is_not_ready_and_refuses_new_callers_at_once)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  int callers[MAX_CALLERS];
+  static const char *const requests[] = {
+    "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nhalf",
+  };
+  char answer[ANSWER_BYTES_MAX];
+
+  for (int i = 0; i < WAIT_MS && !is_listed (fixture); i++)
+    run_loop (fixture);
+  for (int i = 0; i < MAX_CALLERS; i++)
+    {
+      ck_assert (is_ready (fixture));
+      ck_assert (is_listed (fixture));
+      callers[i] = connect_caller (fixture);
+    }
+  ck_assert (!is_ready (fixture));
+  ck_assert (!is_listed (fixture));
+  for (size_t i = 0; i < G_N_ELEMENTS (requests); i++)
+    {
+      int excess = connect_caller (fixture);
+      send_text (excess, requests[i]);
+      read_to_end (fixture, excess, answer);
+      ck_assert_int_eq (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+      ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: not-run\r\n"));
+      ck_assert_ptr_nonnull (strstr (answer, "Retry-After: "));
+      ck_assert_ptr_nonnull (strstr (answer, "Connection: close\r\n"));
+      close (excess);
+    }
+  close (callers[0]);
+  for (int i = 0; i < 20; i++)
+    run_loop (fixture);
+  ck_assert (!is_ready (fixture)); /* not until a tenth has gone */
+  close (callers[1]);
+  for (int i = 0; i < 20; i++)
+    run_loop (fixture);
+  ck_assert (is_ready (fixture));
+  ck_assert (is_listed (fixture));
+  for (int i = 2; i < MAX_CALLERS; i++)
+    close (callers[i]);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
+/* Guards against a server that stops accepting when connections without a request take up all that
+ * it accepts in excess. */
+START_TEST (full_entry_leaves_no_connection_in_its_backlog)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  int connections[MAX_CALLERS + EXCESS_MAX];
+  char answer[ANSWER_BYTES_MAX];
+  int caller;
+
+  for (int i = 0; i < MAX_CALLERS + EXCESS_MAX; i++)
+    connections[i] = connect_caller (fixture);
+  caller = connect_caller (fixture);
+  read_to_end (fixture, caller, answer); /* closed at once, unread */
+  ck_assert_str_eq (answer, "");
+  close (caller);
+  for (int i = 0; i < MAX_CALLERS; i++)
+    close (connections[i]);
+  for (int i = 0; i < WAIT_MS && !is_ready (fixture); i++)
+    run_loop (fixture); /* closes excess connections without a request */
+  caller = connect_caller (fixture);
+  send_text (caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  close (accept_attempt (fixture));
+  close (caller);
+  for (int i = MAX_CALLERS; i < MAX_CALLERS + EXCESS_MAX; i++)
+    close (connections[i]);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
+/* Guards against an entry that keeps the bodies of many requests until its memory is used up. */
+START_TEST (body_that_does_not_fit_beside_the_others_is_refused_at_once)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  g_autofree char *part = g_strnfill (BODIES_BYTES_MAX * 2 / 3, 'a');
+  static const char head[] = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n";
+  char answer[ANSWER_BYTES_MAX];
+  int first = connect_caller (fixture);
+  int second = connect_caller (fixture);
+  int third;
+
+  send_text (first, head);
+  send_text (first, part);
+  for (int i = 0; i < 50; i++)
+    run_loop (fixture);
+  send_text (second, head);
+  send_text (second, part);
+  read_to_end (fixture, second, answer);
+  ck_assert_int_eq (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+  ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: not-run\r\n"));
+  ck_assert_ptr_nonnull (strstr (answer, "bodies-too-large"));
+  close (first); /* its part is given back */
+  close (second);
+  third = connect_caller (fixture);
+  send_text (third, head);
+  send_text (third, part);
+  part[40000 - BODIES_BYTES_MAX * 2 / 3] = '\0';
+  send_text (third, part);
+  close (accept_attempt (fixture));
+  close (third);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
 /* Guards against a promise of "not run" that an upstream gave for its own attempt only, after one
  * at another upstream that may have run. */
 START_TEST (not_run_of_the_last_attempt_says_nothing_of_earlier_ones)
@@ -377,5 +511,8 @@
               &request_received_in_part_is_refused_in_a_planned_stop,
               &rest_of_a_request_that_was_refused_in_part_gets_no_answer,
               &running_request_is_answered_at_the_end_of_a_planned_stop,
+              &full_entry_is_not_ready_and_refuses_new_callers_at_once,
+              &full_entry_leaves_no_connection_in_its_backlog,
+              &body_that_does_not_fit_beside_the_others_is_refused_at_once,
               &not_run_of_the_last_attempt_says_nothing_of_earlier_ones,
               &status_without_the_upstreams_statement_promises_nothing)
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -817,6 +817,45 @@
 }
 END_TEST
 
+/* Guards against callers that are sent to a daemon that takes none, and against a pool that loses
+ * its scheduler because that daemon has many callers. */
+START_TEST (full_daemon_is_not_listed_and_remains_a_home)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 2);
+  GsEvent full = { .kind = GS_EVENT_CALLERS_FULL, .callers_full = true };
+  GsEvent lookup = { .kind = GS_EVENT_ADDRESS_LOOKUP,
+                     .address_lookup = { .request = 5, .failure_domain = "d1" } };
+  GsEffect *effect;
+  int home;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  post_event (fleet, home, &full);
+  ck_assert (!gs_core_ready (fleet->cores[home]));
+  for (int i = 0; i < 3; i++)
+    tick (fleet, 100 * GS_US_PER_MS);
+  for (int core = 0; core < DAEMONS; core++)
+    {
+      post_event (fleet, core, &lookup);
+      effect = take_effect (fleet, GS_EFFECT_ADDRESS_LOOKUP_ANSWER, NULL);
+      ck_assert_uint_eq (effect->address_lookup.n_members, DAEMONS - 1);
+      ck_assert (gs_core_has_ready_peer (fleet->cores[core]));
+    }
+  request (fleet, (home + 1) % DAEMONS, 2);
+  ck_assert_uint_eq (gs_scheduler_outstanding (gs_core_scheduler (fleet->cores[home], "w", "p")),
+                     2);
+  full.callers_full = false;
+  post_event (fleet, home, &full);
+  ck_assert (gs_core_ready (fleet->cores[home]));
+  for (int i = 0; i < 3; i++)
+    tick (fleet, 100 * GS_US_PER_MS);
+  post_event (fleet, 0, &lookup);
+  effect = take_effect (fleet, GS_EFFECT_ADDRESS_LOOKUP_ANSWER, NULL);
+  ck_assert_uint_eq (effect->address_lookup.n_members, DAEMONS);
+  fleet_free (fleet);
+}
+END_TEST
+
 static void
 stop_daemon (Fleet *fleet, int core, int64_t after_us)
 {
@@ -1336,6 +1375,7 @@
               &late_attempt_that_is_being_answered_is_not_replaced,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
+              &full_daemon_is_not_listed_and_remains_a_home,
               &waiting_request_is_refused_when_a_planned_stop_leaves_it_no_time,
               &waiting_request_that_has_time_during_a_planned_stop_keeps_its_place,
               &request_that_comes_too_late_in_a_planned_stop_is_refused_at_once,
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -203,6 +203,37 @@
 }
 END_TEST
 
+/* Guards against callers that are sent to a full daemon, and against messages that daemons of an
+ * earlier version refuse while none is full. */
+START_TEST (member_messages_round_trip)
+{
+  GsMemberInfo update = fixture_member ("b", "d1");
+  GsWireMessage message = { .kind = GS_WIRE_MEMBER_MESSAGE,
+                            .member_message = { .kind = GS_MEMBER_MESSAGE_PING,
+                                                .from = fixture_member ("a", "d0"),
+                                                .n_updates = 1,
+                                                .updates = &update } };
+  size_t lengths[2];
+
+  for (uint8_t full = 0; full <= 1; full++)
+    {
+      g_autoptr (GBytes) bytes = NULL;
+      GsWireMessage decoded;
+
+      message.member_message.from.full = full;
+      update.full = full;
+      bytes = gs_wire_encode (&message);
+      lengths[full] = g_bytes_get_size (bytes);
+      decoded = round_trip (&message);
+      ck_assert_uint_eq (decoded.member_message.from.full, full);
+      ck_assert_uint_eq (decoded.member_message.updates[0].full, full);
+      ck_assert_str_eq (decoded.member_message.updates[0].id, "b");
+      gs_wire_clear (&decoded);
+    }
+  ck_assert_uint_eq (lengths[1], lengths[0] + 2); /* one field each, in no message otherwise */
+}
+END_TEST
+
 START_TEST (upstream_reports_round_trip)
 {
   GsWireMessage message
@@ -230,6 +261,7 @@
 END_TEST
 
 FIXTURE_MAIN ("wire",
+              &member_messages_round_trip,
               &upstream_reports_round_trip,
               &quiet_time_beyond_the_bound_is_refused,
               &slot_requests_round_trip,
