Bound the delay after which a daemon reads the store for a lost reader

Cause: daemons took over 150 ms apart by their rank, and ranks of lost daemons stay until membership notices. An update of another zone's reader restarted the wait; tables came by relays that may be lost too.

Fix: core/reader decides, pure: 1.2 s after the last update of a reader of the domain plus at most 0.4 s by the cube root of the rank, for any number of daemons; it reads until one before it does. Updates of registrations state the position of the reader's tables, and whoever is behind pulls them from the reader. The field is the message's last one; daemons of the version before ignore it.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -804,10 +804,14 @@
   return core->registry;
 }
 
-int64_t
-gs_core_registry_age_us (const GsCore *core, int64_t now_us)
-{
-  return core->registry_updated_us == 0 ? INT64_MAX : now_us - core->registry_updated_us;
+GsReaderState
+gs_core_reader_state (const GsCore *core)
+{
+  return (GsReaderState){ .rank = gs_members_domain_rank (core->members, scheduling_readers_key ()),
+                          .n_ranks = gs_members_domain_size (core->members),
+                          .heard_us = core->reader_heard_us,
+                          .preceding_us = core->reader_preceding_us,
+                          .available_us = core->reader_available_us };
 }
 
 int64_t
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -30,6 +30,7 @@
 #include "member.h"
 #include "log_event.h"
 #include "pool.h"
+#include "reader.h"
 #include "scheduler.h"
 
 enum
@@ -179,10 +180,12 @@
 /** Registration changes, read from the store or received from a daemon that read them. */
 typedef struct
 {
-  uint64_t from;  /**< store position after which the changes begin */
-  uint64_t to;    /**< store position that they reach */
-  bool complete;  /**< the changes list every registration; `from` is ignored */
-  bool read_here; /**< read by this daemon, which sends them to the others */
+  uint64_t from;    /**< store position after which the changes begin */
+  uint64_t to;      /**< store position that they reach */
+  bool complete;    /**< the changes list every registration; `from` is ignored */
+  bool read_here;   /**< read by this daemon, which sends them to the others */
+  bool from_reader; /**< sent by the daemon that read them; false: a copy of another one's */
+  uint64_t tables_position; /**< of the tables in force at that daemon; 0: not stated */
   GsStoreState store;
   const GsRegistryChange *changes;
   uint32_t n_changes;
@@ -282,6 +285,7 @@
   GS_EFFECT_EDIT_RESULT,
   GS_EFFECT_REGISTRY_UPDATE,
   GS_EFFECT_PULL_REGISTRY,
+  GS_EFFECT_PULL_TABLES,
   GS_EFFECT_SLOT_REQUEST,
   GS_EFFECT_SLOT_REPLY,
   GS_EFFECT_SLOT_RESULT,
@@ -444,9 +448,8 @@
 /** RETURN VALUE: microseconds from the last event until the next tick is due. */
 int64_t gs_core_next_tick_us (const GsCore *core);
 
-/** RETURN VALUE: microseconds since registrations were last read or received while the store was
- * available; INT64_MAX: never. */
-int64_t gs_core_registry_age_us (const GsCore *core, int64_t now_us);
+/** RETURN VALUE: what this daemon knows about the readers of its domain, but for taken_over_us. */
+GsReaderState gs_core_reader_state (const GsCore *core);
 
 /** RETURN VALUE: time for which callers may cache address lookup answers, in microseconds. */
 int64_t gs_core_address_lookup_ttl_us (const GsCore *core);
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -155,8 +155,10 @@
   GHashTable *pending_claims;    /* claim -> PendingClaim */
   GHashTable *peers_by_origin;   /* origin of slot requests -> GsPeerAddress */
   GsRegistry *registry;
-  /* time of the last registry update; one sent during an outage of the store does not count */
-  int64_t registry_updated_us;
+  int64_t reader_heard_us; /* see GsReaderState */
+  int64_t reader_preceding_us;
+  int64_t reader_available_us;
+  int64_t tables_pulled_us; /* when tables were last pulled because of a registry update */
   /* store position up to which this daemon sent changes to all other daemons */
   uint64_t registry_sent_to_all;
   uint64_t origin; /* identifies this daemon in slot requests */
@@ -250,6 +252,8 @@
 void scheduling_receive_registry_update (GsCore *core,
                                          const GsRegistryUpdate *update,
                                          const GsPeerAddress *from);
+/* Key of the ranks of the store's readers. */
+uint64_t scheduling_readers_key (void);
 void scheduling_tables_changed (GsCore *core);
 void scheduling_sync_upstreams (GsCore *core);
 void scheduling_tick (GsCore *core);
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -798,6 +798,12 @@
   return pick_homes (members, key, 0, count, indexes);
 }
 
+static bool
+is_in_own_domain (const GsMembers *members, const GsMemberInfo *info)
+{
+  return strcmp (info->failure_domain, member_at (members, 0)->info.failure_domain) == 0;
+}
+
 uint32_t
 gs_members_domain_rank (const GsMembers *members, uint64_t key)
 {
@@ -809,14 +815,49 @@
   for (uint32_t i = 1; i < members->members->len; i++)
     {
       const Member *member = member_at (members, i);
-      if (member->info.state == GS_MEMBER_ALIVE
-          && strcmp (member->info.failure_domain, self->info.failure_domain) == 0
+      if (member->info.state == GS_MEMBER_ALIVE && is_in_own_domain (members, &member->info)
           && rendezvous_weight (member, key, min_millicores) > own)
         rank++;
     }
   return rank;
 }
 
+uint32_t
+gs_members_domain_size (const GsMembers *members)
+{
+  uint32_t size = 1;
+
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      const GsMemberInfo *info = &member_at (members, i)->info;
+      size += info->state == GS_MEMBER_ALIVE && is_in_own_domain (members, info) ? 1 : 0;
+    }
+  return size;
+}
+
+bool
+gs_members_precedes (const GsMembers *members, const GsMemberInfo *member, uint64_t key)
+{
+  const Member *other = find_by_hash (members, gs_hash_name (member->id));
+  uint32_t min_millicores = preferred_min_millicores (members);
+
+  return other != NULL && is_in_own_domain (members, member)
+         && rendezvous_weight (other, key, min_millicores)
+                > rendezvous_weight (member_at (members, 0), key, min_millicores);
+}
+
+const GsMemberInfo *
+gs_members_find_address (const GsMembers *members, const GsPeerAddress *address)
+{
+  for (uint32_t i = 0; i < members->members->len; i++)
+    {
+      const GsMemberInfo *info = &member_at (members, i)->info;
+      if (info->ipv4 == address->ipv4 && info->peer_port == address->peer_port)
+        return info;
+    }
+  return NULL;
+}
+
 typedef struct
 {
   uint64_t distance; /* from this daemon along the ring */
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -174,6 +174,17 @@
  * by rendezvous weight; members with at least half of the largest CPU share come first. */
 uint32_t gs_members_domain_rank (const GsMembers *members, uint64_t key);
 
+/** RETURN VALUE: number of alive members in this daemon's failure domain, itself included. */
+uint32_t gs_members_domain_size (const GsMembers *members);
+
+/** RETURN VALUE: whether MEMBER is in this daemon's failure domain and comes before it in the ranks
+ * for KEY. */
+bool gs_members_precedes (const GsMembers *members, const GsMemberInfo *member, uint64_t key);
+
+/** RETURN VALUE: the member with this peer address, or NULL; itself included. */
+const GsMemberInfo *gs_members_find_address (const GsMembers *members,
+                                             const GsPeerAddress *address);
+
 enum
 {
   GS_MEMBER_RELAYS = 2, /**< members to which a daemon forwards updates in its failure domain */
--- /dev/null
+++ b/src/gentian/core/reader.c
@@ -0,0 +1,39 @@
+#include "reader.h"
+
+#include <glib.h>
+#include <math.h>
+
+/** Delay for each rank while readers are heard but the store does not answer them. */
+#define READER_RANK_UNAVAILABLE_US (150 * GS_US_PER_MS)
+
+/* Delay of this daemon's rank, 0 for rank 1. By the cube root, the first ranks are far enough apart
+ * for one to read and be heard before the next is due, and the last ones come by the bound. */
+static int64_t
+rank_delay_us (const GsReaderState *state)
+{
+  uint32_t last = MAX (state->n_ranks, state->rank + 1) - 1;
+
+  if (state->rank <= 1)
+    return 0;
+  return (int64_t)(cbrt ((double)(state->rank - 1) / (last - 1)) * (double)GS_READER_DELAY_MAX_US);
+}
+
+int64_t
+gs_reader_takeover_us (const GsReaderState *state)
+{
+  int64_t silent_us = state->heard_us + GS_READER_SILENCE_US + rank_delay_us (state);
+  int64_t unavailable_us
+      = state->available_us + GS_READER_SILENCE_US + state->rank * READER_RANK_UNAVAILABLE_US;
+
+  return MIN (silent_us, unavailable_us);
+}
+
+bool
+gs_reader_must_read (const GsReaderState *state, int64_t now_us)
+{
+  if (state->rank == 0)
+    return true;
+  if (state->taken_over_us != 0)
+    return state->preceding_us <= state->taken_over_us;
+  return now_us >= gs_reader_takeover_us (state);
+}
--- /dev/null
+++ b/src/gentian/core/reader.h
@@ -0,0 +1,45 @@
+/**
+ * NAME
+ *   reader - which daemon of a failure domain reads the platform's store for the others
+ *
+ * DESCRIPTION
+ *   The daemons of a domain have ranks, and the one with rank 0 reads. Any number of them may be
+ * lost at the same moment, and membership may take long to notice it. So a daemon that hears from
+ * no reader reads too, after a delay that increases with its rank and has the same bound for any
+ * number of daemons. It goes on until a daemon that precedes it reads again.
+ *
+ *   While readers are heard but say that the store does not answer them, the others try as well,
+ * much later, as the store may answer them. Pure: time comes with the state.
+ */
+#ifndef GS_READER_H
+#define GS_READER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base.h"
+
+/** Longest time between two updates of a reader, with the delays of two reads and two messages. */
+#define GS_READER_SILENCE_US (1200 * GS_US_PER_MS)
+/** Longest delay of any rank after that. */
+#define GS_READER_DELAY_MAX_US (400 * GS_US_PER_MS)
+
+/** What a daemon knows about the readers of its domain. Times are monotonic, 0 means never. */
+typedef struct
+{
+  uint32_t rank;        /**< of this daemon; 0: the first */
+  uint32_t n_ranks;     /**< daemons of the domain */
+  int64_t heard_us;     /**< last update of any reader of the domain, this daemon included */
+  int64_t preceding_us; /**< the same of one that precedes this daemon and that the store answers */
+  int64_t available_us; /**< last update from a daemon that the store answers, of any domain */
+  int64_t
+      taken_over_us; /**< since when this daemon reads although its rank is not 0; 0: it does not */
+} GsReaderState;
+
+/** RETURN VALUE: when this daemon must take over if it hears nothing more, in monotonic time. */
+int64_t gs_reader_takeover_us (const GsReaderState *state);
+
+/** RETURN VALUE: whether this daemon must read at NOW_US. */
+bool gs_reader_must_read (const GsReaderState *state, int64_t now_us);
+
+#endif
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -27,6 +27,8 @@
  * received them. */
 #define SCHEDULING_ACCOUNT_PERIOD_US (500 * GS_US_PER_MS)
 #define SCHEDULING_NEW_HOME_US (2 * GS_US_PER_S)
+/** Shortest time between two pulls of the tables; a transfer takes less. */
+#define SCHEDULING_TABLES_PULL_US (250 * GS_US_PER_MS)
 /** Tick periods: while slot requests are pending or queued, and otherwise. */
 #define SCHEDULING_BUSY_TICK_US (25 * GS_US_PER_MS)
 #define SCHEDULING_IDLE_TICK_US (100 * GS_US_PER_MS)
@@ -947,6 +949,46 @@
     }
 }
 
+uint64_t
+scheduling_readers_key (void)
+{
+  return gs_hash_name ("store readers");
+}
+
+/* Pulls the tables from the reader of this domain, at once, if they are newer: the daemon that
+ * should have passed them on may be lost. */
+static void
+pull_newer_tables (GsCore *core, const GsRegistryUpdate *update, const GsPeerAddress *from)
+{
+  if (update->tables_position <= gs_config_log_position (core->config_log)
+      || core->now_us - core->tables_pulled_us < SCHEDULING_TABLES_PULL_US)
+    return;
+  core->tables_pulled_us = core->now_us;
+  core_add_effect (core, GS_EFFECT_PULL_TABLES)->to = *from;
+}
+
+/* Notes that a reader is at work. */
+static void
+note_reader (GsCore *core, const GsRegistryUpdate *update, const GsPeerAddress *from)
+{
+  const GsMemberInfo *member
+      = is_local (from) ? NULL : gs_members_find_address (core->members, from);
+  bool available = !update->store.unavailable;
+
+  if (!update->from_reader)
+    return;
+  if (available && update->to >= gs_registry_position (core->registry))
+    core->reader_available_us = core->now_us;
+  if (is_local (from))
+    core->reader_heard_us = core->now_us;
+  if (member == NULL || strcmp (member->failure_domain, core->options.self.failure_domain) != 0)
+    return;
+  core->reader_heard_us = core->now_us;
+  if (available && gs_members_precedes (core->members, member, scheduling_readers_key ()))
+    core->reader_preceding_us = core->now_us;
+  pull_newer_tables (core, update, from);
+}
+
 void
 scheduling_receive_registry_update (GsCore *core,
                                     const GsRegistryUpdate *update,
@@ -955,6 +997,8 @@
   uint64_t position = gs_registry_position (core->registry);
   bool changed = false;
 
+  note_reader (core, update, from);
+
   if (!update->complete && update->from > position)
     {
       if (!is_local (from))
@@ -970,8 +1014,6 @@
           = gs_registry_apply (core->registry, &update->changes[i], &update->store, core->now_us)
             || changed;
   gs_registry_advance (core->registry, update->to);
-  if (update->to >= position && !update->store.unavailable)
-    core->registry_updated_us = core->now_us;
   if (changed)
     {
       log_registration_changes (core, update);
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -211,6 +211,9 @@
     case GS_EFFECT_PULL_REGISTRY:
       gs_engine_pull_registry (engine, &effect->to);
       break;
+    case GS_EFFECT_PULL_TABLES:
+      gs_engine_pull_tables_snapshot (engine, &effect->to, 0);
+      break;
     case GS_EFFECT_SLOT_REQUEST:
     case GS_EFFECT_SLOT_REPLY:
     case GS_EFFECT_SLOT_RESULT:
--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -22,12 +22,9 @@
 /** Interval between reads of the registrations. With the distribution to the other daemons it stays
  * well below the 2 s within which a leaving upstream must no longer receive requests. */
 #define WATCHER_READ_INTERVAL_US (800 * GS_US_PER_MS)
-/** A daemon becomes a reader too when it has not read or received registrations for this long, and
- * WATCHER_TAKEOVER_RANK_US longer for each rank. */
-#define WATCHER_TAKEOVER_US (1200 * GS_US_PER_MS)
-#define WATCHER_TAKEOVER_RANK_US (150 * GS_US_PER_MS)
-/** How long such a daemon remains a reader. */
-#define WATCHER_TAKEOVER_DURATION_US (4 * GS_US_PER_S)
+/** Age from which tables have reached the daemons of this domain by the relays. Those that lack
+ * them then pull them. */
+#define WATCHER_TABLES_RELAYED_US (250 * GS_US_PER_MS)
 /** While the store is unavailable: retry interval of the first reader, and mean retry interval of
  * the other daemons. */
 #define WATCHER_RETRY_US (500 * GS_US_PER_MS)
@@ -73,13 +70,14 @@
   bool call_running;    /* for registrations */
   uint32_t rank;
   int64_t created_us;
-  int64_t reader_until_us;    /* after taking over */
+  int64_t taken_over_us;      /* see GsReaderState */
   int64_t available_since_us; /* end of the store's last outage; 0: none seen */
   GsRandom random;
   bool store_unavailable;
   bool reader; /* this daemon must read */
   uint64_t tables_position;
-  bool tables_continue; /* the next read continues from `tables_position` */
+  int64_t tables_read_us; /* when tables in force were read here that had not been before */
+  bool tables_continue;   /* the next read continues from `tables_position` */
   bool tables_call_running;
   uint64_t peer_position; /* of the peer that was last found to be ahead */
   int64_t next_pull_us;
@@ -162,15 +160,41 @@
                                 call->changes->len, call->page.next_offset, &call->state, now_us);
 }
 
+/* Revision of the tables in force. With the metadata store it is the config log's position. */
+static uint64_t
+tables_revision (GsStoreWatcher *watcher)
+{
+  const GsCore *core = gs_engine_lock (watcher->engine);
+  uint64_t revision = gs_config_log_position (gs_core_config_log (core));
+
+  gs_engine_unlock (watcher->engine);
+  return revision;
+}
+
+/* Position of the tables in force, if the other daemons of this domain should have them already. A
+ * daemon that has just taken over states it at once: the relays may be lost. */
+static uint64_t
+relayed_tables_position (GsStoreWatcher *watcher)
+{
+  int64_t age_us = g_get_monotonic_time () - watcher->tables_read_us;
+
+  if (age_us < WATCHER_TABLES_RELAYED_US && watcher->taken_over_us == 0)
+    return 0;
+  return tables_revision (watcher);
+}
+
 static void
 post_page (GsStoreWatcher *watcher, const StoreCall *call)
 {
-  GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
-                    .registry_update.update = { .from = watcher->position,
-                                                .to = call->page.next_offset,
-                                                .complete = call->newest,
-                                                .read_here = true,
-                                                .store = store_state (watcher) } };
+  GsEvent event
+      = { .kind = GS_EVENT_REGISTRY_UPDATE,
+          .registry_update.update = { .from = watcher->position,
+                                      .to = call->page.next_offset,
+                                      .complete = call->newest,
+                                      .read_here = true,
+                                      .from_reader = true,
+                                      .tables_position = relayed_tables_position (watcher),
+                                      .store = store_state (watcher) } };
 
   event.registry_update.update.changes
       = (const GsRegistryChange *)(const void *)call->changes->data;
@@ -188,34 +212,39 @@
                     .registry_update.update = { .from = watcher->position,
                                                 .to = watcher->position,
                                                 .read_here = true,
+                                                .from_reader = true,
                                                 .store = { .unavailable = true } } };
 
   if (watcher->continues)
     gs_engine_post (watcher->engine, &event);
 }
 
-static uint32_t
-reader_rank (GsStoreWatcher *watcher)
+/* Tells the other daemons of this domain which tables a daemon that has taken over has read. */
+static void
+post_tables_position (GsStoreWatcher *watcher)
 {
-  static const char name[] = "store readers";
-  const GsCore *core = gs_engine_lock (watcher->engine);
-  uint32_t rank = gs_members_domain_rank (gs_core_members (core), gs_hash_name (name));
+  GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
+                    .registry_update.update = { .from = watcher->position,
+                                                .to = watcher->position,
+                                                .read_here = true,
+                                                .from_reader = true,
+                                                .tables_position = tables_revision (watcher),
+                                                .store = store_state (watcher) } };
 
-  gs_engine_unlock (watcher->engine);
-  return rank;
+  if (watcher->continues)
+    gs_engine_post (watcher->engine, &event);
 }
 
-/* Time since registrations were last read or received while the store was available, at most the
- * time since the start. */
-static int64_t
-registrations_age_us (GsStoreWatcher *watcher)
+static GsReaderState
+reader_state (GsStoreWatcher *watcher)
 {
-  const GsCore *core = gs_engine_lock (watcher->engine);
-  int64_t now_us = g_get_monotonic_time ();
-  int64_t age_us = gs_core_registry_age_us (core, now_us);
+  GsReaderState state = gs_core_reader_state (gs_engine_lock (watcher->engine));
 
   gs_engine_unlock (watcher->engine);
-  return MIN (age_us, now_us - watcher->created_us);
+  state.heard_us = MAX (state.heard_us, watcher->created_us);
+  state.available_us = MAX (state.available_us, watcher->created_us);
+  state.taken_over_us = watcher->taken_over_us;
+  return state;
 }
 
 /* Whether registrations or tables are still missing after a start. Always false in a fleet that
@@ -232,16 +261,16 @@
 }
 
 static bool
-must_read (GsStoreWatcher *watcher, uint32_t rank)
+must_read (GsStoreWatcher *watcher, const GsReaderState *state)
 {
   int64_t now_us = g_get_monotonic_time ();
+  bool must = gs_reader_must_read (state, now_us);
 
-  if (rank == 0 || now_us < watcher->reader_until_us || lacks_state (watcher))
-    return true;
-  if (registrations_age_us (watcher) < WATCHER_TAKEOVER_US + rank * WATCHER_TAKEOVER_RANK_US)
-    return false;
-  watcher->reader_until_us = now_us + WATCHER_TAKEOVER_DURATION_US;
-  return true;
+  if (!must || state->rank == 0)
+    watcher->taken_over_us = 0;
+  else if (watcher->taken_over_us == 0)
+    watcher->taken_over_us = now_us;
+  return must || lacks_state (watcher);
 }
 
 static int64_t
@@ -253,12 +282,22 @@
     return 0;
   if (rank == 0)
     return WATCHER_RETRY_US;
-  watcher->reader_until_us = 0;
+  watcher->taken_over_us = 0;
   if (lacks_state (watcher))
     return WATCHER_RETRY_US;
   return (int64_t)(WATCHER_RETRY_OTHERS_US * (0.6 + 0.8 * gs_random_unit (&watcher->random)));
 }
 
+/* Time until a daemon that does not read checks again whether it must. */
+static int64_t
+idle_check_delay_us (const GsStoreWatcher *watcher, const GsReaderState *state)
+{
+  int64_t left_us = gs_reader_takeover_us (state) - g_get_monotonic_time ();
+
+  return watcher->reader ? WATCHER_CHECK_INTERVAL_US
+                         : CLAMP (left_us, GS_US_PER_MS, WATCHER_CHECK_INTERVAL_US);
+}
+
 static int64_t
 start_delay_us (const GsStoreWatcher *watcher)
 {
@@ -293,17 +332,6 @@
   gs_engine_pull_tables_snapshot (watcher->engine, &address, 0);
 }
 
-/* Revision of the tables in force. With the metadata store it is the config log's position. */
-static uint64_t
-tables_revision (GsStoreWatcher *watcher)
-{
-  const GsCore *core = gs_engine_lock (watcher->engine);
-  uint64_t revision = gs_config_log_position (gs_core_config_log (core));
-
-  gs_engine_unlock (watcher->engine);
-  return revision;
-}
-
 /* Posts TABLES and pushes them on, if they are newer than those in force. */
 static void
 post_tables (GsStoreWatcher *watcher, GsStoreTables *tables)
@@ -319,6 +347,7 @@
   entry.revision = tables->document->revision;
   event.tables_snapshot.position = entry.revision;
   gs_engine_post (watcher->engine, &event);
+  watcher->tables_read_us = g_get_monotonic_time ();
   tables->document = NULL; /* the core owns it */
   gs_engine_push_tables_snapshot (watcher->engine);
 }
@@ -338,6 +367,8 @@
     post_tables (watcher, &tables);
   gs_store_tables_clear (&tables);
   watcher->tables_position = page->next_offset;
+  if (watcher->taken_over_us != 0 && !watcher->tables_continue)
+    post_tables_position (watcher);
 }
 
 /* Thread function of a call. */
@@ -422,18 +453,19 @@
 on_check (struct ev_loop *loop, ev_timer *timer, int events)
 {
   GsStoreWatcher *watcher = timer->data;
+  GsReaderState state = reader_state (watcher);
 
   (void)loop;
   (void)events;
-  watcher->rank = reader_rank (watcher);
-  watcher->reader = must_read (watcher, watcher->rank);
+  watcher->rank = state.rank;
+  watcher->reader = must_read (watcher, &state);
   pull_tables (watcher);
   start_tables_call (watcher);
   if (!watcher->reader || watcher->call_running)
     {
       /* A daemon that becomes a reader again starts from the newest records. */
       watcher->continues = watcher->continues && watcher->reader;
-      start_timer (watcher, &watcher->check, WATCHER_CHECK_INTERVAL_US);
+      start_timer (watcher, &watcher->check, idle_check_delay_us (watcher, &state));
       return;
     }
   watcher->call_running = true;
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -156,6 +156,13 @@
   msgpack_pack_array (packer, update->n_changes);
   for (uint32_t i = 0; i < update->n_changes; i++)
     pack_change (packer, &update->changes[i]);
+  msgpack_pack_uint64 (packer, update->from_reader ? update->tables_position + 1 : 0);
+}
+
+static bool
+has_more (const GsMsgpackReader *reader)
+{
+  return !reader->failed && reader->next < reader->length;
 }
 
 static void
@@ -164,6 +171,7 @@
   GsRegistryUpdate *update = &message->registry_update;
   GsRegistryChange *changes;
   GsMsgpackReader list;
+  uint64_t tables_position;
 
   read_address (reader, &message->reply_to);
   update->from = gs_msgpack_read_uint (reader, UINT64_MAX);
@@ -187,6 +195,11 @@
         changes[update->n_changes++] = change;
     }
   reader->failed = list.failed;
+  if (!has_more (reader)) /* daemons of an earlier version do not state it */
+    return;
+  tables_position = gs_msgpack_read_uint (reader, UINT64_MAX);
+  update->from_reader = tables_position > 0;
+  update->tables_position = tables_position - (update->from_reader ? 1 : 0);
 }
 
 static void
@@ -383,7 +396,7 @@
     case GS_WIRE_TABLES_SNAPSHOT:
       return 1;
     case GS_WIRE_REGISTRY_UPDATE:
-      return 8;
+      return 9;
     case GS_WIRE_SLOT_REQUEST:
       return 16;
     case GS_WIRE_UPSTREAM_REPORT:
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -159,6 +159,85 @@
 }
 END_TEST
 
+/* Posts an update of the registrations from the daemon at IPV4. */
+static void
+post_registry_update (Fixture *fixture, uint32_t ipv4, uint64_t tables_position, bool unavailable)
+{
+  GsEvent event
+      = { .kind = GS_EVENT_REGISTRY_UPDATE,
+          .registry_update
+          = { .from = { .ipv4 = ipv4, .peer_port = 90 },
+              .update = { .to = 1,
+                          .from_reader = true,
+                          .tables_position = tables_position,
+                          .store = { .unavailable = unavailable, .available_us = INT64_MAX } } } };
+
+  fixture_reduce (fixture, &event);
+}
+
+static void
+add_member (Fixture *fixture, const char *id, const char *domain, uint32_t ipv4)
+{
+  GsMemberMessage message = { .kind = GS_MEMBER_MESSAGE_ACK, .from = fixture_member (id, domain) };
+  GsEvent event = { .kind = GS_EVENT_MEMBER_MESSAGE, .member_message = &message };
+
+  message.from.ipv4 = ipv4;
+  fixture_reduce (fixture, &event);
+}
+
+/* Guards against old tables at a daemon that was to get new ones from a lost relay, and against
+ * one that pulls them while they are on their way. */
+START_TEST (newer_tables_of_the_domains_reader_are_pulled)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  uint64_t position = gs_config_log_position (gs_core_config_log (fixture.core));
+
+  add_member (&fixture, "same", "d0", 2);
+  add_member (&fixture, "other", "d1", 3);
+  post_registry_update (&fixture, 2, position, false);
+  ck_assert_ptr_null (fixture_find (&fixture, GS_EFFECT_PULL_TABLES));
+  post_registry_update (&fixture, 3, position + 1, false);
+  ck_assert_ptr_null (fixture_find (&fixture, GS_EFFECT_PULL_TABLES));
+  post_registry_update (&fixture, 2, position + 1, false);
+  ck_assert_ptr_nonnull (fixture_find (&fixture, GS_EFFECT_PULL_TABLES));
+  ck_assert_uint_eq (fixture_find (&fixture, GS_EFFECT_PULL_TABLES)->to.ipv4, 2);
+  post_registry_update (&fixture, 2, position + 1, false);
+  ck_assert_ptr_null (fixture_find (&fixture, GS_EFFECT_PULL_TABLES));
+  fixture.now_us += GS_US_PER_S; /* the pull was lost */
+  post_registry_update (&fixture, 2, position + 1, false);
+  ck_assert_ptr_nonnull (fixture_find (&fixture, GS_EFFECT_PULL_TABLES));
+  fixture_free (&fixture);
+}
+END_TEST
+
+/* Guards against a daemon that waits for the reader of its domain because others, or copies, were
+ * heard. */
+START_TEST (only_readers_of_the_domain_count_as_heard)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsEvent copy = { .kind = GS_EVENT_REGISTRY_UPDATE,
+                   .registry_update = { .from = { .ipv4 = 2, .peer_port = 90 },
+                                        .update = { .to = 1, .complete = true } } };
+
+  add_member (&fixture, "same", "d0", 2);
+  add_member (&fixture, "other", "d1", 3);
+  ck_assert_uint_eq (gs_core_reader_state (fixture.core).n_ranks, 2);
+  fixture_reduce (&fixture, &copy);
+  post_registry_update (&fixture, 3, 1, false);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).heard_us, 0);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).available_us, fixture.now_us);
+  fixture.now_us += GS_US_PER_S;
+  post_registry_update (&fixture, 2, 1, true);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).heard_us, fixture.now_us);
+  ck_assert_int_lt (gs_core_reader_state (fixture.core).available_us, fixture.now_us);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).preceding_us, 0);
+  post_registry_update (&fixture, 2, 1, false);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).preceding_us,
+                    gs_core_reader_state (fixture.core).rank > 0 ? fixture.now_us : 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 START_TEST (unknown_route_gets_404_and_missing_tables_get_503)
 {
   GsCoreOptions options = { .self = fixture_member ("self", "d0") };
@@ -791,6 +870,8 @@
               &request_that_did_not_run_is_retried_on_every_route,
               &verdict_includes_all_earlier_attempts,
               &request_that_cannot_meet_its_deadline_is_refused_at_once,
+              &newer_tables_of_the_domains_reader_are_pulled,
+              &only_readers_of_the_domain_count_as_heard,
               &queued_request_is_refused_when_a_planned_stop_leaves_it_no_time,
               &queued_request_is_refused_at_the_end_of_a_planned_stop,
               &unknown_route_gets_404_and_missing_tables_get_503,
--- a/test/unit/test_wire.c
+++ b/test/unit/test_wire.c
@@ -146,7 +146,11 @@
   GsWireMessage decoded;
 
   message.registry_update.changes = &change;
+  message.registry_update.from_reader = true;
+  message.registry_update.tables_position = 77;
   decoded = round_trip (&message);
+  ck_assert (decoded.registry_update.from_reader);
+  ck_assert_uint_eq (decoded.registry_update.tables_position, 77);
   ck_assert_uint_eq (decoded.registry_update.to, 9);
   ck_assert_int_eq (decoded.registry_update.store.available_us, INT64_MAX);
   ck_assert_mem_eq (decoded.registry_update.changes, &change, sizeof change);
