Read the log in a daemon that hears from no other

What callers saw: in the own mode, after all daemons of a failure domain but one were lost, that one went on by old tables for half a minute and more. The same cause as that of the store's readers: 30 s plus 3 s for each rank.

Fix: an isolated daemon reads. Membership knows within a period that it hears from nobody; while it hears from one, lost readers are noticed and the ranks move up.

--- a/src/gentian/daemon/log_consumer.c
+++ b/src/gentian/daemon/log_consumer.c
@@ -412,6 +412,16 @@
   gs_engine_pull_tables_snapshot (consumer->engine, &address, position);
 }
 
+/* Whether no other daemon is heard, so that the readers may all be lost. */
+static bool
+is_isolated (GsLogConsumer *consumer)
+{
+  bool isolated = gs_members_isolated (gs_core_members (gs_engine_lock (consumer->engine)));
+
+  gs_engine_unlock (consumer->engine);
+  return isolated;
+}
+
 static bool
 is_reader (GsLogConsumer *consumer, uint32_t rank)
 {
@@ -419,6 +429,7 @@
 
   tables_position (consumer, &complete);
   return rank < CONSUMER_READERS || !complete || gs_engine_must_read_log (consumer->engine)
+         || is_isolated (consumer)
          || g_get_monotonic_time () - consumer->read_us > CONSUMER_READ_AGE_US * (10 + rank);
 }
 
