Route all paths, and pass on all headers, on the platform

Cause: the path of the own address lookup was a constant of the entry, and so were those headers of the own protocol that have no other name on the platform.

Evidence: 3 new tests of test_proxy_request failed before: the path reached no upstream; requests with Gentian-Ticket, Gentian-Hop or a long Idempotency-Key were refused with 400; Gentian-Attempt was dropped from answers.

Fix: GsHeaderNames has the path and these headers. Where a platform has none, paths are routed and headers passed on.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -259,6 +259,14 @@
     gs_proxy_request_submit (request);
 }
 
+static bool
+is_address_lookup (const GsProxyRequest *request)
+{
+  const char *path = request->context->header_names->lookup_path;
+
+  return path != NULL && strcmp (request->path, path) == 0 && strcmp (request->method, "GET") == 0;
+}
+
 static void
 on_lookup_done (const GsAddressLookupAnswer *answer, void *data)
 {
@@ -367,7 +375,7 @@
     {
       request->submitted = true;
       request->received_us = g_get_monotonic_time ();
-      if (strcmp (request->path, "/v1/entries") == 0 && strcmp (method, "GET") == 0)
+      if (is_address_lookup (request))
         handle_address_lookup (request);
       else
         handle_proxied (request);
--- a/src/gentian/http/entry.h
+++ b/src/gentian/http/entry.h
@@ -3,10 +3,10 @@
  *   entry - the server for callers
  *
  * DESCRIPTION
- *   An HTTP server on the entry port, run by the engine's event loop. `GET /v1/entries` is an
- * address lookup, see address_lookup.h; every other request is proxied to an upstream that the
- * reducer selects, see proxy_request.h. Every error with which the daemon itself answers has a
- * JSON body that names the reason, and the header Gentian-Verdict.
+ *   An HTTP server on the entry port, run by the engine's event loop. A GET of the lookup path
+ * (`/v1/entries`) is an address lookup, see address_lookup.h; every other request is proxied to an
+ * upstream that the reducer selects, see proxy_request.h. Every error with which the daemon itself
+ * answers has a JSON body that names the reason, and the header Gentian-Verdict.
  *
  *   Headers from callers: Gentian-Ticket or Idempotency-Key (a permit), Gentian-Timeout-Ms. Between
  * daemons: Gentian-Hop (signed). To upstreams: Gentian-Attempt, Gentian-Deadline-Ms. A platform may
--- a/src/gentian/http/header_names.h
+++ b/src/gentian/http/header_names.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *   gs_header_names_default has the product's own names. A platform that uses other names defines
- * its own table. NULL: the header is not used.
+ * its own table. NULL: the header is not used, and one of that name in the product's own protocol
+ * is passed on like any other.
  */
 #ifndef GS_HEADER_NAMES_H
 #define GS_HEADER_NAMES_H
@@ -13,6 +14,15 @@
 
 typedef struct
 {
+  /** Path at which callers look up addresses; it cannot be routed. NULL: all paths are routed. */
+  const char *lookup_path;
+  /** From callers: a permit. */
+  const char *ticket;
+  const char *idempotency_key;
+  /** Between daemons: signature of a forwarded request, and an idempotency key that the receiver
+   * must not claim. */
+  const char *hop;
+  const char *passed_key;
   /** From callers: time that they wait, in milliseconds. */
   const char *caller_timeout;
   /** To upstreams: time left until the deadline, in milliseconds. */
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -275,8 +275,6 @@
   const char *before = MHD_get_response_header (data, name);
   g_autofree char *joined = NULL;
 
-  if (g_ascii_strcasecmp (name, gs_header_names_default.attempt) == 0)
-    return;
   if (before != NULL && g_ascii_strcasecmp (name, "Set-Cookie") != 0)
     {
       joined = g_strdup_printf ("%s, %s", before, value);
@@ -285,6 +283,18 @@
   MHD_add_response_header (data, name, joined != NULL ? joined : value);
 }
 
+/* The header by which an upstream has named its attempt means nothing to the caller. */
+static void
+remove_attempt (const GsHeaderNames *header_names, struct MHD_Response *response)
+{
+  const char *attempt = header_names->attempt != NULL
+                            ? MHD_get_response_header (response, header_names->attempt)
+                            : NULL;
+
+  if (attempt != NULL)
+    MHD_del_response_header (response, header_names->attempt, attempt);
+}
+
 /* An answer that states "not run" speaks of its own attempt only. */
 static void
 correct_verdict (struct MHD_Response *response, GsVerdict earlier_verdict)
@@ -302,8 +312,13 @@
                     struct MHD_Response *response,
                     GsVerdict earlier_verdict)
 {
+  const GsHeaderNames *header_names = request->context->header_names;
+
   gs_exchange_headers (request->exchange, add_header, response);
-  if (gs_exchange_status (request->exchange) >= 500 && request->context->header_names->verdicts
+  remove_attempt (header_names, response);
+  if (!header_names->verdicts)
+    return;
+  if (gs_exchange_status (request->exchange) >= 500
       && gs_exchange_header (request->exchange, "Gentian-Verdict") == NULL)
     MHD_add_response_header (response, "Gentian-Verdict", gs_verdict_name (GS_VERDICT_RAN));
   correct_verdict (response, earlier_verdict);
@@ -379,6 +394,7 @@
   for (guint i = 0; i + 1 < answer.headers->len; i += 2)
     add_header (g_ptr_array_index (answer.headers, i), g_ptr_array_index (answer.headers, i + 1),
                 response);
+  remove_attempt (request->context->header_names, response);
   MHD_add_response_header (response, "Gentian-Kept-Answer", "true");
   set_answer (request, (unsigned int)answer.status, response);
   gs_cached_answer_clear (&answer);
--- a/src/gentian/http/request_head.c
+++ b/src/gentian/http/request_head.c
@@ -3,11 +3,11 @@
 #include <stdio.h>
 #include <string.h>
 
-#define REQUEST_HEAD_PASSED_KEY "Gentian-Passed-Key"
-
 const char *
 gs_request_head_get (const GsProxyRequest *request, const char *name)
 {
+  if (name == NULL)
+    return NULL;
   return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
 }
 
@@ -23,8 +23,9 @@
 static const char *
 parse_permit (GsProxyRequest *request)
 {
-  const char *ticket = gs_request_head_get (request, "Gentian-Ticket");
-  const char *key = gs_request_head_get (request, "Idempotency-Key");
+  const GsHeaderNames *header_names = request->context->header_names;
+  const char *ticket = gs_request_head_get (request, header_names->ticket);
+  const char *key = gs_request_head_get (request, header_names->idempotency_key);
   GsPermit *permit = &request->event.permit;
 
   if (ticket != NULL && key != NULL)
@@ -51,7 +52,7 @@
 static const char *
 verify_hop (GsProxyRequest *request)
 {
-  const char *hop = gs_request_head_get (request, "Gentian-Hop");
+  const char *hop = gs_request_head_get (request, request->context->header_names->hop);
   g_autofree char *text = NULL;
 
   if (hop == NULL)
@@ -221,28 +222,25 @@
 static bool
 is_forwarded (const GsHeaderNames *header_names, const char *name, bool with_permit)
 {
-  if (gs_header_is_hop_by_hop (name) || g_ascii_strcasecmp (name, "Gentian-Hop") == 0
+  if (gs_header_is_hop_by_hop (name) || is_header (name, header_names->hop)
       || is_header (name, header_names->caller_timeout) || is_header (name, header_names->attempt)
       || is_header (name, header_names->deadline)
       || is_header (name, header_names->expected_instance))
     return false;
-  if (g_ascii_strcasecmp (name, "Gentian-Ticket") == 0)
-    return with_permit;
-  return true;
+  return !is_header (name, header_names->ticket) || with_permit;
 }
 
 /*
- * Idempotency-Key is passed on to the upstream. A request that is forwarded to a home without its
- * permit has the key under another header name, because the home must not claim it again.
+ * The idempotency key is passed on to the upstream. A request that is forwarded to a home without
+ * its permit has the key under another header name, because the home must not claim it again.
  */
 static const char *
-forwarded_name (const char *name, const GsAttemptEffect *attempt)
+forwarded_name (const GsHeaderNames *header_names, const char *name, const GsAttemptEffect *attempt)
 {
-  if (attempt->forward && !attempt->with_permit
-      && g_ascii_strcasecmp (name, "Idempotency-Key") == 0)
-    return REQUEST_HEAD_PASSED_KEY;
-  if (!attempt->forward && g_ascii_strcasecmp (name, REQUEST_HEAD_PASSED_KEY) == 0)
-    return "Idempotency-Key";
+  if (attempt->forward && !attempt->with_permit && is_header (name, header_names->idempotency_key))
+    return header_names->passed_key;
+  if (!attempt->forward && is_header (name, header_names->passed_key))
+    return header_names->idempotency_key;
   return name;
 }
 
@@ -279,10 +277,11 @@
 copy_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
 {
   const HeaderCopy *copy = data;
-  const char *passed = forwarded_name (name, copy->attempt);
+  const GsHeaderNames *header_names = copy->request->context->header_names;
+  const char *passed = forwarded_name (header_names, name, copy->attempt);
 
   (void)kind;
-  if (!is_forwarded (copy->request->context->header_names, name, copy->attempt->with_permit))
+  if (!is_forwarded (header_names, name, copy->attempt->with_permit))
     return MHD_YES;
   g_ptr_array_add (copy->headers, g_strdup_printf ("%s: %s", passed, value != NULL ? value : ""));
   return MHD_YES;
@@ -307,7 +306,7 @@
       char signature[GS_SIGNATURE_HEX + 1];
       g_autofree char *text = hop_signature_text (request);
       gs_sign (gs_engine_settings (request->context->engine)->fleet_key, text, signature);
-      g_ptr_array_add (headers, g_strdup_printf ("Gentian-Hop: %s", signature));
+      g_ptr_array_add (headers, g_strdup_printf ("%s: %s", header_names->hop, signature));
     }
   else
     add_upstream_headers (request, attempt, headers);
--- a/test/unit/test_proxy_request.c
+++ b/test/unit/test_proxy_request.c
@@ -283,6 +283,63 @@
 }
 END_TEST
 
+/* Guards against an answer of the daemon's own, with status 200, on a path that an operator has
+ * routed. */
+START_TEST (paths_of_the_own_protocol_are_routed_on_a_platform)
+{
+  static const char *const targets[]
+      = { "/v1/entries", "/v1/entries?host=h&path=/", "/v1/resolve", "/v1/ready", "/metrics" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+      g_autofree char *head
+          = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: h\r\nId: 1\r\n", targets[i]);
+      g_autofree char *request = g_strconcat (head, "\r\n", NULL);
+
+      send_all (fd, request, strlen (request));
+      bench_settle (bench);
+      ck_assert_msg (g_str_has_prefix (bench->asked->str, head), "%s does not reach an upstream",
+                     targets[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+}
+END_TEST
+
+/* Guards against a refusal, or a change, of a request because a header of it means something in the
+ * own protocol. */
+START_TEST (headers_of_the_own_protocol_are_passed_on_on_a_platform)
+{
+  g_autofree char *long_key = g_strnfill (300, 'k');
+  g_autofree char *key_line = g_strdup_printf ("Idempotency-Key: %s\r\n", long_key);
+  const char *const lines[]
+      = { "Gentian-Ticket: x\r\n",     "Gentian-Hop: x\r\n",
+          "Gentian-Passed-Key: x\r\n", "Gentian-Timeout-Ms: x\r\n",
+          "Gentian-Attempt: x\r\n",    "Gentian-Ticket: x\r\nIdempotency-Key: y\r\n",
+          "Idempotency-Key: y\r\n",    key_line };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+      g_autofree char *head
+          = g_strconcat ("GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\n", lines[i], NULL);
+      g_autofree char *request = g_strconcat (head, "\r\n", NULL);
+
+      send_all (fd, request, strlen (request));
+      bench_settle (bench);
+      ck_assert_msg (g_str_has_prefix (bench->asked->str, head),
+                     "a request with %s does not reach an upstream unchanged", lines[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+}
+END_TEST
+
 /* Guards against a request that its caller broke off, passed on as a whole one. */
 START_TEST (request_that_is_broken_off_is_not_passed_on)
 {
@@ -383,6 +440,34 @@
 }
 END_TEST
 
+/* Guards against a change of an upstream's answer because a header of it means something in the own
+ * protocol. */
+START_TEST (answer_headers_of_the_own_protocol_are_passed_on_on_a_platform)
+{
+  static const char *const lines[]
+      = { "Gentian-Verdict: not-run\r\n", "Gentian-Attempt: 5\r\n", "Gentian-Leaving: true\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    {
+      Bench *bench = bench_new (&platform_names);
+      int fd = caller_connect (bench);
+      g_autoptr (GString) answer = g_string_new (NULL);
+      g_autofree char *wire = g_strdup_printf (
+          "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: a\r\n%sContent-Length: 2\r\n\r\nok", lines[i]);
+
+      send_all (fd, REQUEST ("Content-Length: 0\r\n"), strlen (REQUEST ("Content-Length: 0\r\n")));
+      upstream_answer (bench, wire);
+      bench_settle (bench);
+      receive (fd, answer);
+      ck_assert (g_str_has_prefix (answer->str, "HTTP/1.1 200"));
+      ck_assert_msg (strstr (answer->str, lines[i]) != NULL, "the answer lacks %s", lines[i]);
+      close (fd);
+      bench_settle (bench);
+      bench_free (bench);
+    }
+}
+END_TEST
+
 /* Guards against a request that the upstream may have run, refused with a status that promises the
  * caller that it has not run. */
 START_TEST (status_that_promises_not_run_is_not_passed_on_without_proof)
@@ -589,6 +674,9 @@
 
 FIXTURE_MAIN ("proxy_request",
               &whole_request_is_passed_on,
+              &paths_of_the_own_protocol_are_routed_on_a_platform,
+              &headers_of_the_own_protocol_are_passed_on_on_a_platform,
+              &answer_headers_of_the_own_protocol_are_passed_on_on_a_platform,
               &request_that_is_broken_off_is_not_passed_on,
               &request_with_contradictory_lengths_is_not_passed_on,
               &header_whose_name_is_no_token_is_not_passed_on,
