Match hosts in upper and lower case

Cause: the table compared host names byte by byte; case means nothing in them (RFC 9110, 4.2.3).

Evidence: host_matches_in_upper_and_lower_case failed before.

Fix: the table's index of hosts ignores case, so do clashes of two workspaces.

--- a/src/gentian/core/table.c
+++ b/src/gentian/core/table.c
@@ -77,13 +77,30 @@
   gs_document_free (document);
 }
 
+/* Names of hosts are the same in upper and lower case (RFC 9110, 4.2.3). */
+static guint
+hash_host (gconstpointer key)
+{
+  guint hash = 5381;
+
+  for (const char *byte = key; *byte != '\0'; byte++)
+    hash = hash * 33 + (guint)g_ascii_tolower (*byte);
+  return hash;
+}
+
+static gboolean
+is_same_host (gconstpointer a, gconstpointer b)
+{
+  return g_ascii_strcasecmp (a, b) == 0;
+}
+
 GsTable *
 gs_table_new (void)
 {
   GsTable *table = g_new0 (GsTable, 1);
 
   table->documents = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_document_value);
-  table->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_route_list);
+  table->hosts = g_hash_table_new_full (hash_host, is_same_host, g_free, free_route_list);
   table->pools = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   return table;
 }
--- a/test/unit/test_table.c
+++ b/test/unit/test_table.c
@@ -20,6 +20,32 @@
 }
 END_TEST
 
+/* Guards against a 404 for a routed path because the caller, or the operator, writes the host in
+ * capitals. */
+START_TEST (host_matches_in_upper_and_lower_case)
+{
+  GsTable *table = gs_table_new ();
+  GsDocument *document = fixture_tables (1, GS_REPEAT_SAFE);
+  GsDocument *other = fixture_tables (1, GS_REPEAT_SAFE);
+
+  g_free (document->routes[0].host);
+  document->routes[0].host = g_strdup ("Depot.Example");
+  gs_table_replace (table, document);
+  ck_assert_ptr_nonnull (gs_table_match (table, "Depot.Example", "/a"));
+  ck_assert_ptr_nonnull (gs_table_match (table, "depot.example", "/a"));
+  ck_assert_ptr_nonnull (gs_table_match (table, "DEPOT.EXAMPLE", "/a"));
+  g_free (other->workspace);
+  other->workspace = g_strdup ("x");
+  g_free (other->routes[0].host);
+  other->routes[0].host = g_strdup ("depot.example");
+  ck_assert_ptr_nonnull (gs_table_find_clash (table, other));
+  gs_document_free (other);
+  gs_table_replace (table, gs_document_new ("w", 5));
+  ck_assert_ptr_null (gs_table_match (table, "depot.example", "/a"));
+  gs_table_free (table);
+}
+END_TEST
+
 START_TEST (wildcard_host_matches_any_host)
 {
   GsTable *table = gs_table_new ();
@@ -78,6 +104,7 @@
 
 FIXTURE_MAIN ("table",
               &longest_prefix_wins,
+              &host_matches_in_upper_and_lower_case,
               &wildcard_host_matches_any_host,
               &older_revision_is_refused,
               &route_of_another_workspace_clashes,
