Start no attempt for a request whose answer has begun

Cause: a late attempt's question for another slot stayed open when its answer began, and the grant that came then started a second attempt in the place of the exchange from which the answer was being streamed.

Evidence: slot_granted_after_the_answer_has_begun_starts_no_attempt failed before.

Fix: the start of an answer cancels the question, and a late report after it asks nothing. The handler starts no attempt while it streams, for a grant that crosses the start of the answer.

--- a/src/gentian/core/request.c
+++ b/src/gentian/core/request.c
@@ -721,8 +721,10 @@
   if (attempt == NULL)
     return;
   attempt->answer_started = true;
-  if (request != NULL && attempt->grant != 0)
-    scheduling_withdraw_replacement (core, request, attempt);
+  if (request == NULL || attempt->grant == 0)
+    return;
+  scheduling_cancel_slot_request (core, request);
+  scheduling_withdraw_replacement (core, request, attempt);
 }
 
 void
--- a/src/gentian/core/scheduling.c
+++ b/src/gentian/core/scheduling.c
@@ -792,8 +792,8 @@
   Request *request = attempt != NULL ? request_find (core, attempt->request) : NULL;
 
   if (request == NULL || request->attempt != id || request->phase != REQUEST_RUNNING
-      || request->slot_request_pending || core->stopping || request->repeat != GS_REPEAT_SAFE
-      || request->n_attempts >= SCHEDULING_ATTEMPTS_MAX
+      || attempt->answer_started || request->slot_request_pending || core->stopping
+      || request->repeat != GS_REPEAT_SAFE || request->n_attempts >= SCHEDULING_ATTEMPTS_MAX
       || request->n_executions + 1 >= request->max_executions)
     return;
   request->n_executions++;
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -687,12 +687,14 @@
     }
 }
 
-/* Executes queued effects until an attempt runs or there is an answer. */
+/* Executes queued effects until an attempt runs or there is an answer. An attempt that the reducer
+ * had decided on when it learned that the answer is being streamed is not started; the reducer has
+ * withdrawn it. */
 static void
 execute_effects (GsProxyRequest *request)
 {
   while (!request->attempt_running && request->response == NULL && !request->caller_disconnected
-         && !g_queue_is_empty (&request->effects))
+         && !request->streaming && !g_queue_is_empty (&request->effects))
     {
       g_autofree GsEffect *effect = g_queue_pop_head (&request->effects);
       execute_effect (request, effect);
--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -16,6 +16,8 @@
   int64_t now_us;
   GsEffectKind dropped_kind; /* messages of this kind are lost while `dropping` */
   bool dropping;
+  GsEffect dropped; /* the last of them */
+  int dropped_from;
   GsEffectKind repeated_kind; /* messages of this kind arrive twice while `repeating` */
   bool repeating;
 } Fleet;
@@ -115,6 +117,11 @@
           if (fleet->repeating && effect->kind == fleet->repeated_kind)
             post_event (fleet, to, &repeated);
         }
+      else if (fleet->dropping && effect->kind == fleet->dropped_kind)
+        {
+          fleet->dropped = *effect;
+          fleet->dropped_from = core;
+        }
     }
   gs_effects_free (effects);
 }
@@ -763,6 +770,40 @@
 
 /* Guards against replacing attempts of long requests, which take as long at any upstream: while its
  * upstream answers other requests, a late attempt continues. */
+/* Guards against an answer that is mixed from two servers: a slot for another attempt is granted
+ * while the late one's answer is being passed on. */
+START_TEST (slot_granted_after_the_answer_has_begun_starts_no_attempt)
+{
+  Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
+  GsEvent late = { .kind = GS_EVENT_ATTEMPT_LATE };
+  GsEvent started = { .kind = GS_EVENT_ANSWER_STARTED };
+  GsEvent reply;
+  int home;
+  int core;
+
+  request (fleet, 0, 1);
+  home = granting_daemon (fleet);
+  core = (home + 1) % DAEMONS;
+  take_effect (fleet, GS_EFFECT_CACHED_ANSWER, NULL);
+  request (fleet, core, 2);
+  late.attempt_late = take_effect (fleet, GS_EFFECT_ATTEMPT, NULL)->attempt.attempt;
+  started.answer_started = late.attempt_late;
+  fleet->dropping = true;
+  fleet->dropped_kind = GS_EFFECT_SLOT_REPLY;
+  post_event (fleet, core, &late);
+  ck_assert_int_eq (fleet->dropped.slot_reply.verdict, GS_SLOT_GRANTED);
+  fleet->dropping = false;
+  reply = event_from_effect (fleet, fleet->dropped_from, &fleet->dropped);
+  post_event (fleet, core, &started);
+  post_event (fleet, core, &reply);
+  ck_assert_ptr_null (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  ck_assert_uint_eq (outstanding (fleet), 2); /* the slot was returned */
+  post_event (fleet, core, &late);
+  ck_assert_ptr_null (take_effect (fleet, GS_EFFECT_ATTEMPT, NULL));
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (late_attempt_at_a_healthy_upstream_continues)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_SAFE, 2);
@@ -1373,6 +1414,7 @@
               &replaced_attempt_that_did_not_connect_has_not_run,
               &replacement_of_a_caller_that_left_is_cancelled,
               &late_attempt_that_is_being_answered_is_not_replaced,
+              &slot_granted_after_the_answer_has_begun_starts_no_attempt,
               &late_attempt_at_a_healthy_upstream_continues,
               &stopping_daemon_replaces_no_late_attempt,
               &full_daemon_is_not_listed_and_remains_a_home,
