Find a second answer in the body of a streamed one

Cause: the body was searched when it was complete and in memory; a streamed answer never is.

Fix: the search goes over the body as it comes, with a small window. When it finds a second answer, what is held is dropped, so that the answer stays incomplete.

--- a/src/gentian/http/answer_copy.c
+++ b/src/gentian/http/answer_copy.c
@@ -9,6 +9,17 @@
 {
   ANSWER_COPY_STATUS_OFFSET = sizeof "HTTP/1.1 " - 1,
   ANSWER_COPY_STATUS_DIGITS = 3,
+  /* Bytes of a status line that are kept until the rest of them comes. */
+  ANSWER_COPY_STATUS_TAIL = ANSWER_COPY_STATUS_OFFSET + ANSWER_COPY_STATUS_DIGITS - 1,
+  ANSWER_COPY_BLANKS_MAX = 64, /* between a header's name and its value */
+};
+
+struct GsAnswerCopy
+{
+  const char *echo_header;
+  char *echo;
+  GByteArray *window; /* the end of what has been searched, which may be the start of a match */
+  bool status_found;
 };
 
 /* RETURN VALUE: the first occurrence of TEXT between BYTES and END, or NULL. */
@@ -54,6 +65,8 @@
   size_t length = strlen (name);
   const uint8_t *colon = value - 1;
 
+  if (value == begin)
+    return false;
   while (colon > begin && (*colon == ' ' || *colon == '\t'))
     colon--;
   return (size_t)(colon - begin) > length && *colon == ':'
@@ -61,43 +74,95 @@
          && *(colon - length - 1) == '\n';
 }
 
-/* Whether a header line between BEGIN and END names the request. */
+/* Whether a header line between BEGIN and END names the request. LAST: END is that of all bytes. */
 static bool
-names_request (const GsAnswerCopyOptions *options, const uint8_t *begin, const uint8_t *end)
+names_request (const GsAnswerCopy *copy, const uint8_t *begin, const uint8_t *end, bool last)
 {
-  size_t length = strlen (options->echo);
+  size_t length = strlen (copy->echo);
   const uint8_t *at = begin;
 
-  while ((at = find (at, end, options->echo)) != NULL)
+  while ((at = find (at, end, copy->echo)) != NULL)
     {
-      if (is_value_of (options->echo_header, begin, at)
-          && (at + length == end || at[length] == '\r'))
+      if (is_value_of (copy->echo_header, begin, at)
+          && (at + length < end ? at[length] == '\r' : last))
         return true;
       at++;
     }
   return false;
 }
 
-bool
-gs_answer_copy_found (const GsAnswerCopyOptions *options)
+/* Drops what cannot be the start of a match. */
+static void
+shorten_window (GsAnswerCopy *copy)
 {
-  g_autoptr (GByteArray) joined = NULL;
-  const uint8_t *bytes = options->body;
-  const uint8_t *end;
-  const uint8_t *second;
+  size_t kept = copy->status_found ? strlen ("\n:") + strlen (copy->echo_header)
+                                         + ANSWER_COPY_BLANKS_MAX + strlen (copy->echo)
+                                   : ANSWER_COPY_STATUS_TAIL;
 
-  if (options->body_length == 0)
-    return false;
-  if (options->surplus_length > 0)
+  if (copy->window->len > kept)
+    g_byte_array_remove_range (copy->window, 0, copy->window->len - (guint)kept);
+}
+
+/* Searches the window, of which a status line must begin in the first BODY_LENGTH bytes. */
+static bool
+search_window (GsAnswerCopy *copy, size_t body_length, bool last)
+{
+  const uint8_t *begin = copy->window->data;
+  const uint8_t *end = begin + copy->window->len;
+
+  if (!copy->status_found)
     {
-      joined = g_byte_array_sized_new ((guint)(options->body_length + options->surplus_length));
-      g_byte_array_append (joined, options->body, (guint)options->body_length);
-      g_byte_array_append (joined, options->surplus, (guint)options->surplus_length);
-      bytes = joined->data;
+      begin = find_status_line (begin, begin + body_length, end);
+      if (begin == NULL)
+        return false;
+      copy->status_found = true;
     }
-  end = bytes + options->body_length + options->surplus_length;
-  second = find_status_line (bytes, bytes + options->body_length, end);
-  return second != NULL && names_request (options, second, end);
+  return names_request (copy, begin, end, last);
+}
+
+GsAnswerCopy *
+gs_answer_copy_new (const char *echo_header, const char *echo)
+{
+  GsAnswerCopy *copy = g_new0 (GsAnswerCopy, 1);
+
+  copy->echo_header = echo_header;
+  copy->echo = g_strdup (echo);
+  copy->window = g_byte_array_new ();
+  return copy;
+}
+
+void
+gs_answer_copy_free (GsAnswerCopy *copy)
+{
+  if (copy == NULL)
+    return;
+  g_byte_array_unref (copy->window);
+  g_free (copy->echo);
+  g_free (copy);
+}
+
+bool
+gs_answer_copy_feed (GsAnswerCopy *copy, const uint8_t *bytes, size_t length)
+{
+  bool found;
+
+  if (length == 0)
+    return false;
+  g_byte_array_append (copy->window, bytes, (guint)length);
+  found = search_window (copy, copy->window->len, false);
+  shorten_window (copy);
+  return found;
+}
+
+bool
+gs_answer_copy_end (GsAnswerCopy *copy, const uint8_t *bytes, size_t length)
+{
+  size_t body_length = copy->window->len;
+
+  if (body_length == 0)
+    return false;
+  g_byte_array_append (copy->window, bytes, (guint)length);
+  return search_window (copy, body_length, true);
 }
 
 bool
--- a/src/gentian/http/answer_copy.h
+++ b/src/gentian/http/answer_copy.h
@@ -4,7 +4,8 @@
  *
  * DESCRIPTION
  *   A server that breaks an answer off and sends it again on the same connection fills the stated
- * length of the first one with bytes of the second. The time is linear in the number of bytes.
+ * length of the first one with bytes of the second. The body is searched as it comes, in memory
+ * that does not depend on its length and in time that is linear in it.
  */
 #ifndef GS_ANSWER_COPY_H
 #define GS_ANSWER_COPY_H
@@ -13,19 +14,20 @@
 #include <stddef.h>
 #include <stdint.h>
 
-typedef struct
-{
-  const uint8_t *body;
-  size_t body_length;
-  const uint8_t *surplus; /**< bytes that came behind the body */
-  size_t surplus_length;
-  const char *echo_header; /**< header by which an answer names its request */
-  const char *echo;        /**< value that it has in the answer to this request */
-} GsAnswerCopyOptions;
+typedef struct GsAnswerCopy GsAnswerCopy;
 
-/** RETURN VALUE: whether a status line begins within the body and the header that names the request
- * follows it, in the body or in the surplus. */
-bool gs_answer_copy_found (const GsAnswerCopyOptions *options);
+/** RETURN VALUE: a search for answers that name their request by the header ECHO_HEADER, a static
+ * string, with value ECHO. */
+GsAnswerCopy *gs_answer_copy_new (const char *echo_header, const char *echo);
+void gs_answer_copy_free (GsAnswerCopy *copy);
+
+/** Searches the next LENGTH bytes of the body. RETURN VALUE: whether a status line and, behind it,
+ * a header line that names the request have been found. */
+bool gs_answer_copy_feed (GsAnswerCopy *copy, const uint8_t *bytes, size_t length);
+
+/** The same when the body has ended; BYTES came behind it. The status line begins in the body, the
+ * header may follow in BYTES. */
+bool gs_answer_copy_end (GsAnswerCopy *copy, const uint8_t *bytes, size_t length);
 
 /** RETURN VALUE: whether BYTES contain what an answer begins with. */
 bool gs_answer_copy_begins (const uint8_t *bytes, size_t length);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -46,6 +46,7 @@
   GsAnswerParser *parser;
   GByteArray *buffer; /* the answer's body */
   size_t buffer_read;
+  GsAnswerCopy *copy;   /* search for a second answer in the body; NULL: the answer has no name */
   size_t counted_bytes; /* of the buffer, as counted by the client */
   bool connecting;
   bool sent;         /* bytes of the request may have been sent */
@@ -397,19 +398,13 @@
   exchange->parser = gs_answer_parser_new (&options);
 }
 
-/* Whether the body of the own answer contains the beginning of an answer that names this request
- * too: the server broke the first one off and sent it again. SURPLUS are the bytes behind it. */
-static bool
-is_sent_again_inside (const GsExchange *exchange, const uint8_t *surplus, size_t length)
+/* The server broke the answer off and sent it again: what is held may be bytes of the second one,
+ * and without them no caller takes the first one for whole. */
+static void
+discard_joined_answer (GsExchange *exchange)
 {
-  GsAnswerCopyOptions options = { .body = exchange->buffer->data,
-                                  .body_length = exchange->buffer->len,
-                                  .surplus = surplus,
-                                  .surplus_length = length,
-                                  .echo_header = exchange->options.echo_header,
-                                  .echo = exchange->echo };
-
-  return exchange->echo != NULL && options.echo_header != NULL && gs_answer_copy_found (&options);
+  exchange->buffer_read = exchange->buffer->len;
+  discard_answer (exchange, "joined-answers");
 }
 
 /* Handles the bytes of one answer. RETURN VALUE: number of bytes that belong to it. */
@@ -417,6 +412,7 @@
 receive_part (GsExchange *exchange, const uint8_t *bytes, size_t length, int64_t now_us)
 {
   bool had_head = gs_answer_parser_state (exchange->parser) != GS_ANSWER_HEAD;
+  size_t held = exchange->buffer->len;
   size_t consumed = gs_answer_parser_feed (exchange->parser, bytes, length, exchange->buffer);
   GsAnswerState state = gs_answer_parser_state (exchange->parser);
 
@@ -430,6 +426,10 @@
     check_answer_head (exchange);
   if (exchange->skipping && exchange->buffer->len > EXCHANGE_SKIPPED_BYTES_MAX)
     discard_answer (exchange, "not-own");
+  else if (!exchange->skipping && !exchange->finished && exchange->copy != NULL
+           && gs_answer_copy_feed (exchange->copy, exchange->buffer->data + held,
+                                   exchange->buffer->len - held))
+    discard_joined_answer (exchange);
   return consumed;
 }
 
@@ -450,9 +450,9 @@
           continue;
         }
       exchange->surplus = length > 0;
-      if (is_sent_again_inside (exchange, bytes, length))
+      if (exchange->copy != NULL && gs_answer_copy_end (exchange->copy, bytes, length))
         {
-          discard_answer (exchange, "joined-answers");
+          discard_joined_answer (exchange);
           return;
         }
       exchange->finished = true;
@@ -763,6 +763,8 @@
   exchange->head = make_head (options);
   exchange->parser = gs_answer_parser_new (&parser);
   exchange->buffer = g_byte_array_new ();
+  if (exchange->echo != NULL && options->echo_header != NULL)
+    exchange->copy = gs_answer_copy_new (options->echo_header, exchange->echo);
   exchange->connection = options->new_connection || exchange->echo == NULL
                              ? gs_connection_new (client)
                              : gs_client_acquire (client, options->ipv4, options->port,
@@ -834,6 +836,7 @@
   release_connection (exchange);
   ev_clear_pending (exchange->loop, &exchange->deferred_done);
   gs_answer_parser_free (exchange->parser);
+  gs_answer_copy_free (exchange->copy);
   g_string_free (exchange->head, TRUE);
   g_byte_array_set_size (exchange->buffer, 0);
   count_held (exchange);
--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1561,6 +1561,53 @@
 }
 END_TEST
 
+/* Guards against a large answer that is broken off and sent again behind that, streamed as one. */
+START_TEST (large_answer_that_is_broken_off_and_repeated_is_broken)
+{
+  static const size_t cuts[] = { 0,
+                                 1,
+                                 5000,
+                                 700000,
+                                 1000000,
+                                 GS_EXCHANGE_BUFFER_BYTES - 20,
+                                 GS_EXCHANGE_BUFFER_BYTES,
+                                 GS_EXCHANGE_BUFFER_BYTES + 100000,
+                                 LARGE_BYTES - 60000,
+                                 LARGE_BYTES - 100,
+                                 LARGE_BYTES - 1 };
+  static const Ending endings[] = { ENDING_FIN, ENDING_FIN_AT_ONCE };
+  g_autofree char *head = g_strdup_printf (OK_HEAD ("Content-Length: %d\r\n"), LARGE_BYTES);
+  Tally tally = { 0 };
+
+  for (size_t i = 0; i < LARGE_BYTES; i++)
+    large_content[i] = (char)(i % 251);
+  for (Mode mode = 0; mode < N_MODES; mode++)
+    for (size_t i = 0; i < G_N_ELEMENTS (cuts) * G_N_ELEMENTS (endings); i++)
+      {
+        Loopback *loopback = loopback_new (mode);
+        size_t cut = cuts[i / G_N_ELEMENTS (endings)];
+        g_autoptr (GString) wire = g_string_new (head);
+        LargeRead result;
+        Play play = { .ending = endings[i % G_N_ELEMENTS (endings)] };
+        GsExchangeState state;
+
+        g_string_append_len (wire, large_content, (gssize)cut);
+        g_string_append (wire, head);
+        g_string_append_len (wire, large_content, LARGE_BYTES);
+        play.bytes = wire->str;
+        play.length = wire->len;
+        state = play_large (loopback, &play, &result);
+        tally_check (&tally,
+                     state == GS_EXCHANGE_FAILED
+                         || (result.end == GS_EXCHANGE_READ_BROKEN && result.length < LARGE_BYTES),
+                     "%s mode, again after %zu bytes: state %s, %zu bytes read, then %zd",
+                     mode_names[mode], cut, state_name (state), result.length, result.end);
+        loopback_free (loopback);
+      }
+  tally_assert (&tally, "large answers joined of two");
+}
+END_TEST
+
 enum
 {
   SCARCE_ANSWER_BYTES = 3 * GS_EXCHANGE_SCARCE_BYTES / 2,
@@ -1806,6 +1853,7 @@
               &reset_during_the_request_does_not_end_the_answer,
               &large_answer_is_streamed_whole,
               &large_answer_that_is_cut_is_broken,
+              &large_answer_that_is_broken_off_and_repeated_is_broken,
               &answers_are_streamed_early_while_many_bytes_are_held,
               &answer_that_is_broken_off_and_repeated_is_not_complete,
               &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
