Observe requests that were refused for crashing servers

Cause: lost connections are remembered for 20 s, after which it may be tried at two servers again.

Fix: for five minutes after a refusal such a request is not retried, and refused again after one further loss. An answer ends that.

--- a/src/gentian/core/scheduler.c
+++ b/src/gentian/core/scheduler.c
@@ -30,6 +30,9 @@
  * it again after that. */
 #define SCHEDULER_LOST_MEMORY_US (20 * GS_US_PER_S)
 #define SCHEDULER_CRASH_MEMORY_US (120 * GS_US_PER_S)
+/** How long a request that was refused for lost connections is under observation: it is not
+ * retried, and refused again after one. */
+#define SCHEDULER_OBSERVATION_US (300 * GS_US_PER_S)
 /** Number of mean durations that must fit between the end of a wait and its limit, at light load
  * and under lasting overload. More than one, since durations vary. */
 #define SCHEDULER_MARGIN_LIGHT_LOAD 1.3
@@ -105,6 +108,7 @@
   int64_t budget_reported_us;
   GsCrashTracker *lost_requests;     /* requests whose connections were lost */
   GsCrashTracker *crashing_requests; /* those after which the upstream was unreachable */
+  GsCrashTracker *observed_requests; /* those that were refused for either */
   GPtrArray *queue;                  /* of QueuedRequest, by priority and arrival */
   GHashTable *grants;                /* id -> Grant */
   GHashTable *grants_by_request;     /* key of the slot request -> Grant, not owned */
@@ -152,6 +156,7 @@
       = { .limit = SCHEDULER_LOST_LIMIT, .retention_us = SCHEDULER_LOST_MEMORY_US };
   GsCrashTrackerOptions crashed
       = { .limit = SCHEDULER_CRASH_LIMIT, .retention_us = SCHEDULER_CRASH_MEMORY_US };
+  GsCrashTrackerOptions observed = { .limit = 1, .retention_us = SCHEDULER_OBSERVATION_US };
 
   scheduler->options = *options;
   scheduler->pool = g_strdup (options->pool);
@@ -159,6 +164,7 @@
   scheduler->retry_budget = gs_retry_budget_new (&options->budget);
   scheduler->lost_requests = gs_crash_tracker_new (&lost);
   scheduler->crashing_requests = gs_crash_tracker_new (&crashed);
+  scheduler->observed_requests = gs_crash_tracker_new (&observed);
   scheduler->queue = g_ptr_array_new_with_free_func (g_free);
   scheduler->grants = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   scheduler->grants_by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -178,6 +184,7 @@
   gs_retry_budget_free (scheduler->retry_budget);
   gs_crash_tracker_free (scheduler->lost_requests);
   gs_crash_tracker_free (scheduler->crashing_requests);
+  gs_crash_tracker_free (scheduler->observed_requests);
   g_ptr_array_unref (scheduler->queue);
   g_hash_table_destroy (scheduler->grants_by_request);
   g_hash_table_destroy (scheduler->grants);
@@ -667,12 +674,19 @@
          || (now_us - grant->started_us) / SCHEDULER_STUCK_FACTOR > slow_us;
 }
 
+static bool
+is_observed (const GsScheduler *scheduler, uint64_t fingerprint, int64_t now_us)
+{
+  return gs_crash_tracker_must_refuse (scheduler->observed_requests, fingerprint, now_us);
+}
+
 /* RETURN VALUE: why a request must be refused whatever slots are free, or NULL. */
 static const char *
 admission_refusal_reason (GsScheduler *scheduler, const GsSlotRequest *request, int64_t now_us)
 {
   if (gs_crash_tracker_must_refuse (scheduler->crashing_requests, request->fingerprint, now_us)
-      || gs_crash_tracker_must_refuse (scheduler->lost_requests, request->fingerprint, now_us))
+      || gs_crash_tracker_must_refuse (scheduler->lost_requests, request->fingerprint, now_us)
+      || (request->is_retry && is_observed (scheduler, request->fingerprint, now_us)))
     return "crashes-upstreams";
   if (request->replaced_grant != 0 && !is_stuck (scheduler, request->replaced_grant, now_us))
     return "attempt-may-finish";
@@ -729,6 +743,11 @@
   scheduler->lost_connections[scheduler->next_lost_connection++ % SCHEDULER_LOST_CONNECTIONS_MAX]
       = (LostConnection){ .upstream = upstream, .fingerprint = fingerprint, .at_us = now_us };
   gs_crash_tracker_add_suspect (scheduler->lost_requests, fingerprint, upstream, now_us);
+  for (uint64_t i = 1; i < SCHEDULER_LOST_LIMIT && is_observed (scheduler, fingerprint, now_us);
+       i++)
+    gs_crash_tracker_add_suspect (scheduler->lost_requests, fingerprint, upstream + i, now_us);
+  if (gs_crash_tracker_must_refuse (scheduler->lost_requests, fingerprint, now_us))
+    gs_crash_tracker_add_suspect (scheduler->observed_requests, fingerprint, now_us, now_us);
 }
 
 /* The upstream is unreachable: the requests that it lost just before may have crashed it. */
@@ -802,6 +821,7 @@
         {
           gs_crash_tracker_clear_suspect (scheduler->lost_requests, grant->fingerprint);
           gs_crash_tracker_clear_suspect (scheduler->crashing_requests, grant->fingerprint);
+          gs_crash_tracker_clear_suspect (scheduler->observed_requests, grant->fingerprint);
         }
       break;
     case GS_OUTCOME_CLOSED:
--- a/test/unit/test_scheduler.c
+++ b/test/unit/test_scheduler.c
@@ -520,6 +520,70 @@
 
 /* Guards against refusing a harmless request as crashing because its connections are lost now and
  * then. */
+/* Guards against a request that crashes each upstream, comes again and again, and is tried at two
+ * of them whenever its crashes have been forgotten. The users allow three retries after the third
+ * crash. */
+START_TEST (crashing_request_that_comes_again_is_not_retried)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (60);
+  GsSlotRequest request = new_request (&fixture, GS_REPEAT_SAFE);
+  int crashes = 0;
+  int retries = 0;
+
+  for (int64_t end_us = fixture.now_us + 90 * SECOND; fixture.now_us < end_us;
+       fixture.now_us += 4 * SECOND)
+    {
+      GsSlotReply reply = { .verdict = GS_SLOT_GRANTED };
+      request.n_tried = 0;
+      request.deadline_us = fixture.now_us + 3 * SECOND;
+      request.target_us = fixture.now_us + SECOND;
+      for (int attempt = 0; attempt < 2 && reply.verdict == GS_SLOT_GRANTED; attempt++)
+        {
+          request.token = ++fixture.next_token;
+          request.is_retry = attempt > 0;
+          reply = send_request (&fixture, &request);
+          if (reply.verdict != GS_SLOT_GRANTED)
+            break;
+          retries += attempt > 0 && crashes >= 3 ? 1 : 0;
+          crashes++;
+          release_slot (&fixture, &reply, GS_OUTCOME_CLOSED, 50 * MS);
+          request.tried[request.n_tried++] = reply.upstream;
+          fixture.now_us += 50 * MS;
+        }
+    }
+  ck_assert_int_ge (crashes, 4); /* it is tried now and then: it may have been mended */
+  ck_assert_int_le (retries, 3);
+  ck_assert_int_le (crashes, 3 + 90 / 20 + 1); /* refused for 20 s after each */
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
+/* Guards against a request that is called crashing for minutes after it has been answered. */
+START_TEST (request_that_crashed_upstreams_is_retried_once_it_was_answered)
+{
+  SchedulerFixture fixture = scheduler_fixture_new (10);
+  GsSlotRequest request = new_request (&fixture, GS_REPEAT_SAFE);
+  static const GsOutcome outcomes[] = { GS_OUTCOME_CLOSED, GS_OUTCOME_CLOSED, GS_OUTCOME_CLOSED,
+                                        GS_OUTCOME_OK, GS_OUTCOME_CLOSED };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      GsSlotReply reply;
+      fixture.now_us += i == 3 ? 30 * SECOND : SECOND;
+      request.token = ++fixture.next_token;
+      request.deadline_us = fixture.now_us + 3 * SECOND;
+      request.target_us = fixture.now_us + SECOND;
+      reply = send_request (&fixture, &request);
+      ck_assert_int_eq (reply.verdict, GS_SLOT_GRANTED);
+      release_slot (&fixture, &reply, outcomes[i], 50 * MS);
+    }
+  request.token = ++fixture.next_token;
+  request.is_retry = true;
+  ck_assert_int_eq (send_request (&fixture, &request).verdict, GS_SLOT_GRANTED);
+  gs_scheduler_free (fixture.scheduler);
+}
+END_TEST
+
 START_TEST (answered_request_is_not_refused_as_crashing)
 {
   SchedulerFixture fixture = scheduler_fixture_new (6);
@@ -785,6 +849,8 @@
               &result_that_announces_leaving_excludes_the_upstream,
               &retries_stay_within_the_budget,
               &crashing_request_reaches_two_upstreams_at_most,
+              &crashing_request_that_comes_again_is_not_retried,
+              &request_that_crashed_upstreams_is_retried_once_it_was_answered,
               &answered_request_is_not_refused_as_crashing,
               &slots_of_a_lost_daemon_expire,
               &joining_upstream_gets_requests,
