Close idle connections without a time limit for new ones too

What would be seen: a daemon whose idle connections to upstreams have no time limit (the own mode, servers that state none) opens more than its descriptors are enough for, and the failure counts against upstreams. Found by the test of the new limit, which had none: idle_connections_are_closed_for_new_ones failed before.

--- a/src/gentian/core/reader.h
+++ b/src/gentian/core/reader.h
@@ -32,8 +32,7 @@
   int64_t heard_us;     /**< last update of any reader of the domain, this daemon included */
   int64_t preceding_us; /**< the same of one that precedes this daemon and that the store answers */
   int64_t available_us; /**< last update from a daemon that the store answers, of any domain */
-  int64_t
-      taken_over_us; /**< since when this daemon reads although its rank is not 0; 0: it does not */
+  int64_t taken_over_us; /**< since when it reads although its rank is not 0; 0: it does not */
 } GsReaderState;
 
 /** RETURN VALUE: when this daemon must take over if it hears nothing more, in monotonic time. */
--- a/src/gentian/http/client.c
+++ b/src/gentian/http/client.c
@@ -24,13 +24,13 @@
   GHashTableIter iter;
   gpointer value;
   GQueue *found = NULL;
-  int64_t found_until_us = INT64_MAX;
+  int64_t found_until_us = 0;
 
   g_hash_table_iter_init (&iter, client->idle);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const GsConnection *last = g_queue_peek_tail (value);
-      if (last == NULL || last->idle_until_us >= found_until_us)
+      if (last == NULL || (found != NULL && last->idle_until_us >= found_until_us))
         continue;
       found = value;
       found_until_us = last->idle_until_us;
--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1608,6 +1608,35 @@
 }
 END_TEST
 
+/* Guards against idle connections that use up the descriptors that new ones need. */
+START_TEST (idle_connections_are_closed_for_new_ones)
+{
+  enum
+  {
+    MAX_CONNECTIONS = 3,
+  };
+  GsClientOptions client
+      = { .max_idle = 10, .max_connections = MAX_CONNECTIONS, .skip_crash_check = true };
+  GsExchangeOptions options = { .method = "GET", .echo = OWN_ECHO, .new_connection = true };
+  static const char answer[] = OK_HEAD ("Content-Length: 2\r\n") "ok";
+  Loopback *loopback = loopback_new (MODE_OWN);
+
+  gs_client_free (loopback->client);
+  client.loop = loopback->loop;
+  loopback->client = gs_client_new (&client);
+  for (uint32_t i = 1; i <= 2 * MAX_CONNECTIONS; i++)
+    {
+      Call call;
+      call_start (loopback, &call, &options);
+      connection_send (call_wait_for_request (loopback, &call), answer, strlen (answer));
+      ck_assert_int_eq (call_wait_until_done (loopback, &call), GS_EXCHANGE_COMPLETE);
+      call_end (&call);
+      ck_assert_uint_eq (gs_client_n_connections (loopback->client), MIN (i, MAX_CONNECTIONS));
+    }
+  loopback_free (loopback);
+}
+END_TEST
+
 enum
 {
   SCARCE_ANSWER_BYTES = 3 * GS_EXCHANGE_SCARCE_BYTES / 2,
@@ -1854,6 +1883,7 @@
               &large_answer_is_streamed_whole,
               &large_answer_that_is_cut_is_broken,
               &large_answer_that_is_broken_off_and_repeated_is_broken,
+              &idle_connections_are_closed_for_new_ones,
               &answers_are_streamed_early_while_many_bytes_are_held,
               &answer_that_is_broken_off_and_repeated_is_not_complete,
               &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
