--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -183,22 +183,29 @@
   return tables_revision (watcher);
 }
 
+/* An update without changes by this daemon, as a reader. */
+static GsEvent
+make_update (const GsStoreWatcher *watcher)
+{
+  return (GsEvent){ .kind = GS_EVENT_REGISTRY_UPDATE,
+                    .registry_update.update = { .from = watcher->position,
+                                                .to = watcher->position,
+                                                .read_here = true,
+                                                .from_reader = true,
+                                                .store = store_state (watcher) } };
+}
+
 static void
 post_page (GsStoreWatcher *watcher, const StoreCall *call)
 {
-  GsEvent event
-      = { .kind = GS_EVENT_REGISTRY_UPDATE,
-          .registry_update.update = { .from = watcher->position,
-                                      .to = call->page.next_offset,
-                                      .complete = call->newest,
-                                      .read_here = true,
-                                      .from_reader = true,
-                                      .tables_position = relayed_tables_position (watcher),
-                                      .store = store_state (watcher) } };
-
-  event.registry_update.update.changes
-      = (const GsRegistryChange *)(const void *)call->changes->data;
-  event.registry_update.update.n_changes = call->changes->len;
+  GsEvent event = make_update (watcher);
+  GsRegistryUpdate *update = &event.registry_update.update;
+
+  update->to = call->page.next_offset;
+  update->complete = call->newest;
+  update->tables_position = relayed_tables_position (watcher);
+  update->changes = (const GsRegistryChange *)(const void *)call->changes->data;
+  update->n_changes = call->changes->len;
   watcher->position = MAX (watcher->position, call->page.next_offset);
   gs_engine_post (watcher->engine, &event);
 }
@@ -208,13 +215,9 @@
 static void
 post_unavailable (GsStoreWatcher *watcher)
 {
-  GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
-                    .registry_update.update = { .from = watcher->position,
-                                                .to = watcher->position,
-                                                .read_here = true,
-                                                .from_reader = true,
-                                                .store = { .unavailable = true } } };
+  GsEvent event = make_update (watcher);
 
+  event.registry_update.update.store = (GsStoreState){ .unavailable = true };
   if (watcher->continues)
     gs_engine_post (watcher->engine, &event);
 }
@@ -223,14 +226,9 @@
 static void
 post_tables_position (GsStoreWatcher *watcher)
 {
-  GsEvent event = { .kind = GS_EVENT_REGISTRY_UPDATE,
-                    .registry_update.update = { .from = watcher->position,
-                                                .to = watcher->position,
-                                                .read_here = true,
-                                                .from_reader = true,
-                                                .tables_position = tables_revision (watcher),
-                                                .store = store_state (watcher) } };
+  GsEvent event = make_update (watcher);
 
+  event.registry_update.update.tables_position = tables_revision (watcher);
   if (watcher->continues)
     gs_engine_post (watcher->engine, &event);
 }
