--- a/src/gentian/core/scheduler.c
+++ b/src/gentian/core/scheduler.c
@@ -108,7 +108,7 @@
   int64_t budget_reported_us;
   GsCrashTracker *lost_requests;     /* requests whose connections were lost */
   GsCrashTracker *crashing_requests; /* those after which the upstream was unreachable */
-  GsCrashTracker *observed_requests; /* those that were refused for either */
+  GsCrashTracker *observed_requests; /* those that were refused for lost ones */
   GPtrArray *queue;                  /* of QueuedRequest, by priority and arrival */
   GHashTable *grants;                /* id -> Grant */
   GHashTable *grants_by_request;     /* key of the slot request -> Grant, not owned */
