--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -13,7 +13,7 @@
 #include "../gentian/daemon/store_watcher.h"
 #include "../gentian/daemon/log_consumer.h"
 #include "../gentian/http/admin.h"
-#include "../gentian/http/entry.h"
+#include "../gentian/http/planned_stop.h"
 #include "../gentian/log/counter.h"
 #include "../gentian/log/log.h"
 
@@ -22,27 +22,12 @@
   EXIT_SETTINGS = 2,           /* the settings are invalid */
   EXIT_START = 3,              /* a port or a key is unusable */
   EXIT_CUT = 4,                /* requests in flight were aborted */
-  STOP_ACCEPT_DIVISOR = 2,     /* new requests are accepted for half of the stop limit */
   UPSTREAM_CONNECT_MS = 300,   /* for ten round trips between failure domains and a busy daemon */
   UPSTREAM_IDLE_MS = 4000,     /* idle timeout of connections to upstreams that state none */
   MALLOC_ARENAS = 2,           /* shared by all threads */
   MALLOC_LARGE_BYTES = 131072, /* larger blocks are returned to the system when they are freed */
 };
 
-#define STOP_POLL_S 0.05
-/** Margin on the lifetime of address lookup answers, for those in transit or just received. */
-#define STOP_MARGIN_US (1 * G_USEC_PER_SEC)
-/** New requests are refused from this time after the signal on, if not earlier. A request that is
- * accepted must be given its full timeout, which may reach beyond the stop limit if it comes later.
- */
-#define STOP_ACCEPT_MAX_US (2800 * G_TIME_SPAN_MILLISECOND)
-/** Time without requests after which none is expected on callers' persistent connections. */
-#define STOP_IDLE_US (500 * G_TIME_SPAN_MILLISECOND)
-/** Part of the stop limit that remains for the exit of the process. */
-#define STOP_EXIT_US (200 * G_TIME_SPAN_MILLISECOND)
-/** Time before the limit at which all requests without an answer get one. */
-#define STOP_ANSWER_US (150 * G_TIME_SPAN_MILLISECOND)
-
 static const char *settings_file;
 
 typedef struct
@@ -93,15 +78,6 @@
         NULL,
         NULL };
 
-/* Longest duration of a planned stop. */
-static int64_t
-stop_limit_us (const GsSettings *settings)
-{
-  if (settings->stop_limit_ms == 0)
-    return (int64_t)settings->stop_limit_s * G_USEC_PER_SEC;
-  return (int64_t)settings->stop_limit_ms * G_TIME_SPAN_MILLISECOND - STOP_EXIT_US;
-}
-
 /* Components of the daemon. With a metadata store `log_consumer` is NULL; without one `endpoints`
  * and `store_watcher` are. */
 typedef struct
@@ -192,104 +168,37 @@
   gs_settings_free (settings);
 }
 
-/* A planned stop: serves until callers' address lookup answers have expired and no request is in
- * flight. */
-typedef struct
-{
-  Services *services;
-  ev_signal terminate;
-  ev_signal interrupt;
-  ev_timer poll;
-  uint64_t requests;         /* GS_COUNTER_REQUESTS at the last poll */
-  int64_t expected_until_us; /* until then requests are expected */
-  int64_t refuse_from_us;    /* from then on new requests are refused */
-  int64_t answer_by_us;      /* from then on requests in flight are answered as they are */
-  int64_t limit_us;          /* when the stop ends at the latest */
-} Stop;
-
-static void
-on_stop_poll (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  Stop *stop = watcher->data;
-  GsEntry *entry = stop->services->entry;
-  int64_t now_us = g_get_monotonic_time ();
-  uint64_t requests = gs_counter_value (GS_COUNTER_REQUESTS);
-
-  (void)events;
-  if (requests != stop->requests || gs_entry_in_flight (entry) > 0)
-    stop->expected_until_us = MAX (stop->expected_until_us, now_us + STOP_IDLE_US);
-  stop->requests = requests;
-  if (now_us >= stop->limit_us
-      || (gs_entry_in_flight (entry) == 0
-          && now_us >= MIN (stop->expected_until_us, stop->answer_by_us)))
-    ev_break (loop, EVBREAK_ALL);
-  else if (now_us >= stop->answer_by_us)
-    gs_entry_end_requests (entry);
-  else if (now_us >= stop->refuse_from_us)
-    gs_entry_refuse (entry);
-}
-
-/* Ends the stop at LIMIT_US at the latest. */
-static void
-set_limit (Stop *stop, int64_t limit_us)
-{
-  stop->limit_us = limit_us;
-  stop->answer_by_us = limit_us - STOP_ANSWER_US;
-  gs_engine_stop (stop->services->engine, stop->answer_by_us);
-}
-
-static void
-begin_stop (Stop *stop, struct ev_loop *loop)
-{
-  const GsSettings *settings = gs_engine_settings (stop->services->engine);
-  int64_t now_us = g_get_monotonic_time ();
-
-  gs_log (GS_LOG_EVENT_STOPPING, "in_flight=%u", gs_entry_in_flight (stop->services->entry));
-  stop->expected_until_us
-      = now_us + (int64_t)settings->entries_life_ms * G_TIME_SPAN_MILLISECOND + STOP_MARGIN_US;
-  stop->refuse_from_us
-      = now_us + MIN (stop_limit_us (settings) / STOP_ACCEPT_DIVISOR, STOP_ACCEPT_MAX_US);
-  stop->requests = gs_counter_value (GS_COUNTER_REQUESTS);
-  set_limit (stop, now_us + stop_limit_us (settings));
-  ev_timer_start (loop, &stop->poll);
-}
-
-/* The first signal begins a planned stop. A second one ends it: what has no answer yet gets one. */
+/* The first signal begins a planned stop, a second one ends it. */
 static void
 on_stop_signal (struct ev_loop *loop, ev_signal *watcher, int events)
 {
-  Stop *stop = watcher->data;
-
+  (void)loop;
   (void)events;
-  if (ev_is_active (&stop->poll))
-    set_limit (stop, g_get_monotonic_time () + STOP_ANSWER_US);
-  else
-    begin_stop (stop, loop);
+  gs_planned_stop_begin (watcher->data);
 }
 
-/* Serves until a planned stop is over. */
-static void
+/* Serves until a planned stop is over. RETURN VALUE: number of requests that it cut. */
+static uint32_t
 serve (Services *services)
 {
-  Stop stop = { .services = services };
-  ev_signal reload;
+  GsPlannedStop *stop = gs_planned_stop_new (services->engine, services->entry);
+  ev_signal reload, terminate, interrupt;
+  uint32_t cut;
 
   ev_signal_init (&reload, on_reload, SIGHUP);
-  ev_signal_init (&stop.terminate, on_stop_signal, SIGTERM);
-  ev_signal_init (&stop.interrupt, on_stop_signal, SIGINT);
-  ev_timer_init (&stop.poll, on_stop_poll, 0., STOP_POLL_S);
-  stop.terminate.data = &stop;
-  stop.interrupt.data = &stop;
-  stop.poll.data = &stop;
+  ev_signal_init (&terminate, on_stop_signal, SIGTERM);
+  ev_signal_init (&interrupt, on_stop_signal, SIGINT);
+  terminate.data = stop;
+  interrupt.data = stop;
   ev_signal_start (services->loop, &reload);
-  ev_signal_start (services->loop, &stop.terminate);
-  ev_signal_start (services->loop, &stop.interrupt);
-  ev_run (services->loop, 0);
-  ev_timer_stop (services->loop, &stop.poll);
-  ev_signal_stop (services->loop, &stop.terminate);
-  ev_signal_stop (services->loop, &stop.interrupt);
+  ev_signal_start (services->loop, &terminate);
+  ev_signal_start (services->loop, &interrupt);
+  cut = gs_planned_stop_run (stop);
+  ev_signal_stop (services->loop, &terminate);
+  ev_signal_stop (services->loop, &interrupt);
   ev_signal_stop (services->loop, &reload);
-  gs_entry_quiesce (services->entry);
+  gs_planned_stop_free (stop);
+  return cut;
 }
 
 static int
@@ -310,8 +219,7 @@
           settings->entry_port, settings->admin_port, settings->peer_port, settings->failure_domain,
           gs_engine_descriptors (services.engine)->callers,
           gs_engine_descriptors (services.engine)->lookups, gs_descriptors_limit ());
-  serve (&services);
-  cut = gs_entry_in_flight (services.entry) + gs_entry_n_ended (services.entry);
+  cut = serve (&services);
   if (cut > 0)
     gs_log (GS_LOG_EVENT_REQUESTS_CUT, "requests=%u", cut);
   gs_counter_add (GS_COUNTER_REQUESTS_CUT, cut);
