Answer a request that comes as a planned stop ends

Cause: the stop ends when no request has come for 500 ms. The timer that finds this is called before the sockets that became readable in the same round of the loop, so a request that came in that round was read after the end had been decided, and the process exited. The limit of that daemon was 600 s, so nothing else can have been cut: the count is of requests in flight, which had been 0 in the timer.

Evidence: test_planned_stop, a request that arrives in the round in which the stop ends. Before: cut 1, no answer.

Why this works: from the decision on the entry refuses what it reads and listens no longer, and the loop goes on until all that was read has its answer, at most until the limit of the stop.

--- a/src/gentian/http/planned_stop.c
+++ b/src/gentian/http/planned_stop.c
@@ -56,7 +56,12 @@
   if (now_us >= stop->limit_us
       || (gs_entry_in_flight (stop->entry) == 0
           && now_us >= MIN (stop->expected_until_us, stop->answer_by_us)))
-    ev_break (loop, EVBREAK_ALL);
+    {
+      /* The loop still handles what is pending, which may be a request. */
+      gs_entry_quiesce (stop->entry);
+      gs_entry_refuse (stop->entry);
+      ev_break (loop, EVBREAK_ALL);
+    }
   else if (now_us >= stop->answer_by_us)
     gs_entry_end_requests (stop->entry);
   else if (now_us >= stop->refuse_from_us)
@@ -116,7 +121,10 @@
 uint32_t
 gs_planned_stop_run (GsPlannedStop *stop)
 {
-  ev_run (gs_engine_loop (stop->engine), 0);
-  gs_entry_quiesce (stop->entry);
+  struct ev_loop *loop = gs_engine_loop (stop->engine);
+
+  ev_run (loop, 0);
+  while (gs_entry_in_flight (stop->entry) > 0 && g_get_monotonic_time () < stop->limit_us)
+    ev_run (loop, EVRUN_ONCE);
   return gs_entry_in_flight (stop->entry) + gs_entry_n_ended (stop->entry);
 }
--- /dev/null
+++ b/test/unit/test_planned_stop.c
@@ -0,0 +1,35 @@
+/* Unit tests of planned stops: an entry with its engine that is told to stop. */
+#include "../../src/gentian/http/planned_stop.h"
+#include "entry_fixture.h"
+
+enum
+{
+  IDLE_STOP_US = 1100 * 1000, /* longer than a stop without requests takes */
+};
+
+/* Guards against a closed connection in the place of an answer, for a request that comes on an open
+ * connection while the stop ends because none was expected any more. */
+START_TEST (request_that_comes_as_the_stop_ends_is_refused)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_ONCE, NULL);
+  GsPlannedStop *stop = gs_planned_stop_new (fixture->engine, fixture->entry);
+  char answer[ANSWER_BYTES_MAX];
+  int caller = connect_caller (fixture);
+
+  fixture->settings.stop_limit_s = 600;
+  gs_planned_stop_begin (stop);
+  g_usleep (IDLE_STOP_US);
+  send_text (caller, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+  ck_assert_uint_eq (gs_planned_stop_run (stop), 0);
+  read_answer (caller, answer);
+  ck_assert_ptr_nonnull (strstr (answer, "HTTP/1.1 503 "));
+  ck_assert_ptr_nonnull (strstr (answer, "Gentian-Verdict: not-run\r\n"));
+  ck_assert_ptr_nonnull (strstr (answer, "Connection: close\r\n"));
+  ck_assert_uint_eq (gs_entry_in_flight (fixture->entry), 0);
+  close (caller);
+  gs_planned_stop_free (stop);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
+FIXTURE_MAIN ("planned_stop", &request_that_comes_as_the_stop_ends_is_refused)
