Start no attempt for a caller that has left

A daemon that is late reads a request and its caller's close together and starts the attempt before it looks.

Evidence: test_entry, a caller that sends a request and closes before the daemon reads: before, the upstream got the request; after, it gets none.

Why this works: the look is taken where an attempt starts, first or later ones, so no request goes on whose caller's close has arrived. It costs one call of recv for each.

--- a/src/gentian/http/entry.c
+++ b/src/gentian/http/entry.c
@@ -80,17 +80,6 @@
   gs_server_wake (entry->server);
 }
 
-/* RETURN VALUE: whether the caller has closed its side of the connection. */
-static bool
-has_caller_disconnected (const GsProxyRequest *request)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-
-  return info != NULL && recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 static void
 on_caller_check (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -101,7 +90,7 @@
   for (GList *link = entry->suspended.head; link != NULL; link = next)
     {
       next = link->next;
-      if (has_caller_disconnected (link->data))
+      if (gs_proxy_request_has_caller_closed (link->data))
         gs_proxy_request_caller_disconnected (link->data);
     }
   if (g_queue_is_empty (&entry->suspended))
--- a/src/gentian/http/proxy_request.c
+++ b/src/gentian/http/proxy_request.c
@@ -670,7 +670,10 @@
     {
     case GS_EFFECT_ATTEMPT:
       request->attempt = *effect;
-      start_attempt (request);
+      if (gs_proxy_request_has_caller_closed (request))
+        gs_proxy_request_caller_disconnected (request);
+      else
+        start_attempt (request);
       break;
     case GS_EFFECT_ANSWER:
       send_answer (request, effect->answer.earlier_verdict);
@@ -728,6 +731,14 @@
   gs_engine_post (request->context->engine, &event);
 }
 
+bool
+gs_proxy_request_has_caller_closed (const GsProxyRequest *request)
+{
+  char byte;
+
+  return recv (caller_socket (request), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void
 gs_proxy_request_caller_disconnected (GsProxyRequest *request)
 {
--- a/test/unit/test_entry.c
+++ b/test/unit/test_entry.c
@@ -293,6 +293,30 @@
 }
 END_TEST
 
+/* Guards against work for callers that have left before a daemon that is late reads their requests.
+ */
+START_TEST (request_of_a_caller_that_has_left_is_not_sent)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE, NULL);
+  int caller = connect_caller (fixture);
+
+  send_text (caller, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  close (caller);
+  for (int i = 0; i < 50; i++)
+    run_loop (fixture);
+  for (int i = 0; i < UPSTREAMS; i++)
+    {
+      int fd = accept4 (fixture->upstreams[i], NULL, NULL, SOCK_NONBLOCK);
+      char byte;
+      ck_assert_msg (fd < 0 || recv (fd, &byte, 1, 0) <= 0, "upstream %d got the request", i);
+      if (fd >= 0)
+        close (fd);
+    }
+  ck_assert_uint_eq (gs_entry_in_flight (fixture->entry), 0);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("entry",
               &request_that_comes_at_the_end_of_a_stop_is_refused,
               &request_received_in_part_is_refused_in_a_planned_stop,
@@ -302,4 +326,5 @@
               &full_entry_leaves_no_connection_in_its_backlog,
               &body_that_does_not_fit_beside_the_others_is_refused_at_once,
               &not_run_of_the_last_attempt_says_nothing_of_earlier_ones,
-              &status_without_the_upstreams_statement_promises_nothing)
+              &status_without_the_upstreams_statement_promises_nothing,
+              &request_of_a_caller_that_has_left_is_not_sent)
