Reset the connection of a request that is given up

Cause: a connection whose request was cancelled or timed out was closed in order. The kernel then goes on to send what the daemon had written, and sends it again where packets are lost, so an upstream behind a bad link gets and runs a request whose caller has left, or which has been answered with 504, seconds later.

Evidence: test_exchange, a large request that is cancelled while it is sent: before, the upstream reads on to an orderly end; after, it finds a reset.

Why this works: a reset discards what has not been delivered. It is decided where connections of exchanges are released, for all without a complete answer.

--- a/src/gentian/http/client.c
+++ b/src/gentian/http/client.c
@@ -64,6 +64,16 @@
   g_free (connection);
 }
 
+void
+gs_connection_abort (GsConnection *connection)
+{
+  struct linger linger = { .l_onoff = 1 };
+
+  /* Fails only without a socket: then there is nothing to discard. */
+  (void)setsockopt (connection->socket, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  gs_connection_free (connection);
+}
+
 static void
 free_connection (gpointer data)
 {
--- a/src/gentian/http/client.h
+++ b/src/gentian/http/client.h
@@ -78,6 +78,9 @@
 /** Closes and frees CONNECTION. */
 void gs_connection_free (GsConnection *connection);
 
+/** Resets and frees CONNECTION: what has been written and not delivered is discarded. */
+void gs_connection_abort (GsConnection *connection);
+
 /** Keeps CONNECTION, whose last exchange was complete, for reuse until its idle_until_us. Closes it
  * if max_idle connections are kept already. */
 void gs_client_keep (GsClient *client, uint32_t ipv4, uint16_t port, GsConnection *connection);
--- a/src/gentian/http/exchange.c
+++ b/src/gentian/http/exchange.c
@@ -808,12 +808,18 @@
   return exchange->sent;
 }
 
-/* Returns the connection to the client if it can be reused, and closes it otherwise. */
+/* Returns the connection to the client if it can be reused, and closes it otherwise. Without a
+ * complete answer, the upstream must get no more bytes of the request. */
 static void
 release_connection (GsExchange *exchange)
 {
   GsConnection *connection = exchange->connection;
 
+  if (!exchange->complete)
+    {
+      gs_connection_abort (connection);
+      return;
+    }
   if (!is_connection_reusable (exchange))
     {
       gs_connection_free (connection);
--- a/test/unit/test_exchange.c
+++ b/test/unit/test_exchange.c
@@ -1679,6 +1679,37 @@
 }
 END_TEST
 
+enum
+{
+  HELD_UP_BODY_BYTES = 8 * 1024 * 1024, /* more than the sockets of a connection take */
+};
+
+/* Guards against an upstream that gets the rest of a request after the client has given it up: its
+ * bytes are sent on, and again where they are lost, after an orderly close. */
+START_TEST (request_that_is_given_up_is_not_delivered_later)
+{
+  g_autofree char *body = g_strnfill (HELD_UP_BODY_BYTES, 'b');
+  GsExchangeOptions options = { .method = "POST",
+                                .echo = OWN_ECHO,
+                                .body = (const uint8_t *)body,
+                                .body_length = HELD_UP_BODY_BYTES };
+  Loopback *loopback = loopback_new (MODE_PLATFORM);
+  Connection *connection;
+  ssize_t got;
+  Call call;
+
+  call_start (loopback, &call, &options);
+  connection = call_wait_for_request (loopback, &call);
+  gs_exchange_cancel (call.exchange, GS_OUTCOME_CANCELLED);
+  call_end (&call);
+  do
+    got = recv (connection->fd, body, HELD_UP_BODY_BYTES, 0);
+  while (got > 0);
+  ck_assert_msg (got < 0 && errno == ECONNRESET, "the connection ended in order");
+  loopback_free (loopback);
+}
+END_TEST
+
 enum
 {
   REPEATED_BODY_BYTES = 200,
@@ -1885,6 +1916,7 @@
               &large_answer_that_is_broken_off_and_repeated_is_broken,
               &idle_connections_are_closed_for_new_ones,
               &answers_are_streamed_early_while_many_bytes_are_held,
+              &request_that_is_given_up_is_not_delivered_later,
               &answer_that_is_broken_off_and_repeated_is_not_complete,
               &copy_of_the_answer_to_an_earlier_request_with_the_same_id_is_not_complete,
               &keep_alive_with_a_large_timeout_is_read,
