Limit the connections of the administration API

Cause: descriptors are divided among callers, upstreams and lookups, and a reserve for the rest. The administration API, which has a thread for each connection, was counted in the reserve but had no limit of its own: ulfius sets none.

Evidence: test_full with these connections.

Why this works: 64 connections, a part of the reserve, 32 for one address, of which further ones are closed as they come, so another address still reaches the API (checked too).

--- a/src/gentian/http/admin.c
+++ b/src/gentian/http/admin.c
@@ -14,7 +14,11 @@
 enum
 {
   ADMIN_LOG_TIMEOUT_MS = 2000,
-  ADMIN_APPENDS_MAX = 4, /* appends of one submission's record before it is given up */
+  ADMIN_APPENDS_MAX = 4,         /* appends of one submission's record before it is given up */
+  ADMIN_CONNECTIONS_MAX = 64,    /* each has a thread; part of what config/descriptors reserves */
+  ADMIN_CONNECTIONS_IP_MAX = 32, /* further ones of the same address are closed at once */
+  ADMIN_STACK_BYTES = 256 * 1024,
+  ADMIN_IDLE_S = 30, /* longer than the longest wait of a request */
 };
 
 /** Timeout for the result of a submission. */
@@ -530,6 +534,26 @@
   ulfius_add_endpoint_by_val (server, "GET", "/v1/admin/streams", NULL, 0, get_streams, admin);
 }
 
+/* Listens with limits, which ulfius does not set by itself. */
+static bool
+start_server (struct _u_instance *server)
+{
+  struct MHD_OptionItem options[] = {
+    { MHD_OPTION_NOTIFY_COMPLETED, (intptr_t)mhd_request_completed, NULL },
+    { MHD_OPTION_URI_LOG_CALLBACK, (intptr_t)ulfius_uri_logger, NULL },
+    { MHD_OPTION_SOCK_ADDR, 0, server->bind_address },
+    { MHD_OPTION_CONNECTION_LIMIT, ADMIN_CONNECTIONS_MAX, NULL },
+    { MHD_OPTION_PER_IP_CONNECTION_LIMIT, ADMIN_CONNECTIONS_IP_MAX, NULL },
+    { MHD_OPTION_CONNECTION_TIMEOUT, ADMIN_IDLE_S, NULL },
+    { MHD_OPTION_THREAD_STACK_SIZE, ADMIN_STACK_BYTES, NULL },
+    { MHD_OPTION_END, 0, NULL },
+  };
+
+  return ulfius_start_framework_with_mhd_options (
+             server, MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, options)
+         == U_OK;
+}
+
 GsAdmin *
 gs_admin_new (GsEngine *engine, GError **error)
 {
@@ -544,7 +568,7 @@
   admin->server.max_post_body_size = GS_TABLES_BYTES_MAX + 1;
   admin->server.allowed_post_processor = U_POST_PROCESS_NONE;
   add_endpoints (admin);
-  admin->started = ulfius_start_framework (&admin->server) == U_OK;
+  admin->started = start_server (&admin->server);
   if (admin->started)
     return admin;
   g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "cannot listen on admin port %u",
--- a/test/functional/test_full.sh
+++ b/test/functional/test_full.sh
@@ -19,6 +19,9 @@
 
 limit=$(sed -n 's/.*GS1101 .*max_callers=\([0-9]*\).*/\1/p' "$DIR/inst-1.log")
 check "the limit of callers is below that of descriptors ($limit of 600)" test "$limit" -ge 50 -a "$limit" -le 250
+# Idle connections to its administration API, which use descriptors of the same process.
+admin_fds=()
+for ((i = 0; i < 500; i++)); do exec {fd}<>"/dev/tcp/127.0.0.1/$((PORTS + 214))" && admin_fds+=($fd); done
 fds=()
 for ((i = 0; i < ${limit:-400}; i++)); do exec {fd}<>"/dev/tcp/127.0.0.1/$((PORTS + 210))"; fds+=($fd); done
 not_ready () { ! native_ready 1; }
@@ -41,7 +44,10 @@
 equal "callers that it has are answered, all at once" "$answered" "$limit"
 opened=$(ls "/proc/$(pid_of inst-1)/fd" | wc -l)
 at_most "descriptors that it has open" "$opened" 599
-for fd in "${fds[@]}"; do exec {fd}>&-; done
+at_most "threads that it has" "$(ls "/proc/$(pid_of inst-1)/task" | wc -l)" 100
+measured () { curl -s --noproxy '*' --interface 127.0.0.2 -m 2 "http://127.0.0.1:$((PORTS + 214))/metrics" | grep -q '^gentian_requests_total '; }
+check "its administration API answers another address than that of the idle connections" measured
+for fd in "${fds[@]}" "${admin_fds[@]}"; do exec {fd}>&-; done
 check "without these callers it is ready again" wait_for 5 native_ready 1
 check "and listed" wait_for 3 resolves 2
 check "and serves" served 1
