Hold a long message to many daemons in memory once

Cause: each of the 443 messages of a complete set is a copy of 52 KB until its daemon takes it, 23 MB at once.

Before: copies; after: the bytes of the sender are held until the last one is sent or dropped.

Why this works: ZeroMQ sends the bytes that it is given and releases a reference. Messages of less than 4 KB are still copied, which costs less.

--- a/src/gentian/peer/transport.c
+++ b/src/gentian/peer/transport.c
@@ -25,6 +25,7 @@
   TRANSPORT_DATAGRAMS_PER_EVENT = 64, /* received before the loop processes other events */
   TRANSPORT_DATAGRAM_BUFFER_BYTES = 1024 * 1024,
   TRANSPORT_MESSAGE_BYTES_MAX = 256 * 1024 * 1024,
+  TRANSPORT_SHARED_BYTES_MIN = 4096, /* shorter messages are copied */
   TRANSPORT_ZAP_FRAMES_MAX = 16,
 };
 
@@ -159,6 +160,32 @@
     count_sent (length);
 }
 
+/* Called by a thread of ZeroMQ. */
+static void
+release_bytes (void *bytes, void *owner)
+{
+  (void)bytes;
+  g_bytes_unref (owner);
+}
+
+/* RETURN VALUE: whether ZeroMQ has taken BYTES. A long message is not copied: the same one may go
+ * to hundreds of daemons, of which some take it late. */
+static bool
+pass_to_zmq (void *socket, GBytes *bytes)
+{
+  zmq_msg_t message;
+  gsize length;
+  const void *data = g_bytes_get_data (bytes, &length);
+
+  if (length < TRANSPORT_SHARED_BYTES_MIN)
+    return zmq_send (socket, data, length, ZMQ_DONTWAIT) >= 0;
+  zmq_msg_init_data (&message, (void *)data, length, release_bytes, g_bytes_ref (bytes));
+  if (zmq_msg_send (&message, socket, ZMQ_DONTWAIT) >= 0)
+    return true;
+  zmq_msg_close (&message);
+  return false;
+}
+
 static void
 send_outgoing (GsTransport *transport, const Outgoing *outgoing)
 {
@@ -180,9 +207,8 @@
       g_hash_table_insert (transport->connections, g_memdup2 (&key, sizeof key), connection);
     }
   connection->last_used_us = g_get_monotonic_time ();
-  if (zmq_send (connection->socket, bytes, length, ZMQ_DONTWAIT) < 0)
-    return;
-  count_sent (length);
+  if (pass_to_zmq (connection->socket, outgoing->bytes))
+    count_sent (length);
 }
 
 static void
