--- a/src/gentian/core/reader.h
+++ b/src/gentian/core/reader.h
@@ -24,8 +24,8 @@
 /** Longest delay of any rank after that. */
 #define GS_READER_DELAY_MAX_US (400 * GS_US_PER_MS)
 
-/** Age up to which the known registrations are the start of a reader's first read. The records
- * since then are then fewer than a complete set with all that it takes to send it to the others. */
+/** Greatest age of the known registrations from which a new reader reads on. Beyond it, a complete
+ * set is shorter than the records since then. */
 #define GS_READER_CONTINUE_MAX_US (3 * GS_US_PER_S)
 
 /** What a daemon knows about the readers of its domain. Times are monotonic, 0 means never. */
