--- a/test/unit/test_scheduling.c
+++ b/test/unit/test_scheduling.c
@@ -1341,8 +1341,8 @@
 }
 END_TEST
 
-/* Guards against a daemon that takes over reading and claims to have sent all earlier changes, which
- * others sent: who missed one would not notice. */
+/* Guards against a daemon that takes over reading and claims to have sent all earlier changes,
+ * which others sent: who missed one would not notice. */
 START_TEST (first_update_of_a_new_reader_starts_where_others_sent_changes)
 {
   Fleet *fleet = fleet_new (GS_REPEAT_ONCE, 1); /* changes up to position 11 */
