Log turns of the event loop, pauses in accepting, and how versions arrive

Change: GS5102 states the bytes, the source and heard_ms; GS1109 and the histogram gentian_loop_turn_seconds the turns of the loop; GS1110 and two counters accepting. No decision changes.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -393,6 +393,28 @@
     apply_tables (core);
 }
 
+void
+core_hear_tables_position (GsCore *core, uint64_t position)
+{
+  if (core->tables_heard_us == 0 && position > gs_config_log_position (core->config_log))
+    core->tables_heard_us = core->now_us;
+}
+
+static void
+log_tables_snapshot (GsCore *core, const GsTablesSnapshotEvent *snapshot, uint32_t applied)
+{
+  size_t bytes = 0;
+
+  for (uint32_t i = 0; i < snapshot->n_entries; i++)
+    bytes += strlen (snapshot->entries[i].text);
+  core_log_event (
+      core, GS_LOG_EVENT_TABLES_SNAPSHOT_LOADED,
+      "from=%" G_GUINT64_FORMAT " position=%" G_GUINT64_FORMAT
+      " workspaces=%u bytes=%zu source=%s heard_ms=%" G_GINT64_FORMAT,
+      snapshot->from, snapshot->position, applied, bytes, snapshot->read_here ? "store" : "peer",
+      core->tables_heard_us != 0 ? (core->now_us - core->tables_heard_us) / GS_US_PER_MS : -1);
+}
+
 static void
 handle_tables_snapshot (GsCore *core, const GsTablesSnapshotEvent *snapshot)
 {
@@ -409,9 +431,8 @@
   if (!accepted || !snapshot->last)
     return;
   gs_config_log_end_snapshot (core->config_log, snapshot->position);
-  core_log_event (core, GS_LOG_EVENT_TABLES_SNAPSHOT_LOADED,
-                  "from=%" G_GUINT64_FORMAT " position=%" G_GUINT64_FORMAT " workspaces=%u",
-                  snapshot->from, snapshot->position, applied);
+  log_tables_snapshot (core, snapshot, applied);
+  core->tables_heard_us = 0;
   apply_tables (core);
 }
 
@@ -737,6 +758,7 @@
       tick (core);
       break;
     case GS_EVENT_MEMBER_MESSAGE:
+      core_hear_tables_position (core, event->member_message->position);
       gs_members_receive (core->members, event->member_message, core->now_us);
       break;
     case GS_EVENT_JOIN:
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -170,7 +170,8 @@
   const GsSnapshotEntry *entries;
   GsDocument **documents; /**< parsed tables of `entries`; ownership passes */
   uint32_t n_entries;
-  bool last; /**< these entries complete the snapshot */
+  bool last;      /**< these entries complete the snapshot */
+  bool read_here; /**< from the store, not from another daemon */
 } GsTablesSnapshotEvent;
 
 typedef struct
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -200,6 +200,7 @@
   int64_t reader_preceding_us;
   int64_t reader_available_us;
   int64_t tables_pulled_us; /* when tables were last pulled because of a registry update */
+  int64_t tables_heard_us; /* when later tables than those in force were first heard of; 0: never */
   /* store position up to which changes were sent to all daemons, by this one or another reader */
   uint64_t registry_sent_to_all;
   int64_t era_began_us; /* when the registry entered the store's era; 0: none */
@@ -246,6 +247,8 @@
   return address->ipv4 == 0;
 }
 void core_send_to_homes (GsCore *core, PoolState *state, const GsEffect *effect);
+/* Notes that another daemon has the tables of POSITION. */
+void core_hear_tables_position (GsCore *core, uint64_t position);
 
 /* request_queue.c */
 
--- a/src/gentian/core/log_event.h
+++ b/src/gentian/core/log_event.h
@@ -30,6 +30,8 @@
   X (START_FAILED, 1106, GS_LOG_LEVEL_ERROR, "start-failed")                                       \
   X (SETTINGS_RELOADED, 1107, GS_LOG_LEVEL_NOTICE, "settings-read-again")                          \
   X (LOG_LINES_DROPPED, 1108, GS_LOG_LEVEL_WARNING, "log-lines-dropped")                           \
+  X (LOOP_HELD_UP, 1109, GS_LOG_LEVEL_WARNING, "loop-held-up")                                     \
+  X (ACCEPTING_CHANGED, 1110, GS_LOG_LEVEL_WARNING, "accepting-changed")                           \
   X (ROUTED, 2101, GS_LOG_LEVEL_INFO, "routed")                                                    \
   X (FORWARDED, 2102, GS_LOG_LEVEL_INFO, "forwarded")                                              \
   X (QUEUED, 2103, GS_LOG_LEVEL_INFO, "queued")                                                    \
--- a/src/gentian/core/registry_link.c
+++ b/src/gentian/core/registry_link.c
@@ -57,6 +57,7 @@
 static void
 pull_newer_tables (GsCore *core, const GsRegistryUpdate *update, const GsPeerAddress *from)
 {
+  core_hear_tables_position (core, update->tables_position);
   if (update->tables_position <= gs_config_log_position (core->config_log)
       || core->now_us - core->tables_pulled_us < REGISTRY_LINK_TABLES_PULL_US)
     return;
--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -402,10 +402,12 @@
 post_tables (GsStoreWatcher *watcher, GsStoreTables *tables)
 {
   GsSnapshotEntry entry = { .workspace = GS_ENGINE_STORE_WORKSPACE, .text = tables->text };
-  GsEvent event
-      = { .kind = GS_EVENT_TABLES_SNAPSHOT,
-          .tables_snapshot
-          = { .entries = &entry, .documents = &tables->document, .n_entries = 1, .last = true } };
+  GsEvent event = { .kind = GS_EVENT_TABLES_SNAPSHOT,
+                    .tables_snapshot = { .entries = &entry,
+                                         .documents = &tables->document,
+                                         .n_entries = 1,
+                                         .last = true,
+                                         .read_here = true } };
 
   if (tables->document->revision <= tables_revision (watcher))
     return;
--- a/src/gentian/http/caller_connection.h
+++ b/src/gentian/http/caller_connection.h
@@ -51,11 +51,12 @@
   GsCallerServerOptions options;
   int listener; /**< -1: none */
   ev_io accept_io;
-  ev_prepare flush; /**< fed when connections are dirty; never started */
-  ev_timer sweep;   /**< closes idle connections */
-  ev_timer check;   /**< looks for callers that left while reading is paused */
-  GQueue idle;      /**< of connections, the least recently active first */
-  GQueue brief;     /**< the same of those with a short idle time */
+  int64_t accept_paused_us; /**< since when none is accepted for lack of a resource; 0: not */
+  ev_prepare flush;         /**< fed when connections are dirty; never started */
+  ev_timer sweep;           /**< closes idle connections */
+  ev_timer check;           /**< looks for callers that left while reading is paused */
+  GQueue idle;              /**< of connections, the least recently active first */
+  GQueue brief;             /**< the same of those with a short idle time */
   GQueue dirty;
   uint32_t n_connections;
   uint32_t n_behind;      /**< requests that are read behind others */
--- a/src/gentian/http/caller_server.c
+++ b/src/gentian/http/caller_server.c
@@ -7,6 +7,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "../log/counter.h"
+#include "../log/log.h"
 #include "caller_connection.h"
 
 enum
@@ -107,6 +109,35 @@
     }
 }
 
+static void
+log_accepting (const GsCallerServer *server, bool accepting, int error)
+{
+  int64_t paused_us = g_get_monotonic_time () - server->accept_paused_us;
+
+  gs_log (GS_LOG_EVENT_ACCEPTING_CHANGED,
+          "accepting=%s error=\"%s\" paused_ms=%" G_GINT64_FORMAT " connections=%u",
+          accepting ? "yes" : "no", error != 0 ? g_strerror (error) : "-", paused_us / 1000,
+          server->n_connections);
+}
+
+/* Stops accepting because of ERROR. */
+static void
+pause_accepting (GsCallerServer *server, int error)
+{
+  ev_io_stop (server->loop, &server->accept_io);
+  server->accept_paused_us = g_get_monotonic_time ();
+  gs_counter_add (GS_COUNTER_ACCEPT_PAUSES, 1);
+  log_accepting (server, false, error);
+}
+
+static void
+resume_accepting (GsCallerServer *server)
+{
+  log_accepting (server, true, 0);
+  server->accept_paused_us = 0;
+  ev_io_start (server->loop, &server->accept_io);
+}
+
 static void
 on_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -116,8 +147,8 @@
   (void)events;
   sweep_list (&server->idle, server->options.idle_s);
   sweep_list (&server->brief, SERVER_BRIEF_S);
-  if (server->listener >= 0 && !ev_is_active (&server->accept_io))
-    ev_io_start (server->loop, &server->accept_io); /* stopped for lack of descriptors */
+  if (server->listener >= 0 && server->accept_paused_us != 0)
+    resume_accepting (server);
   start_sweep (server);
 }
 
@@ -168,10 +199,13 @@
 
   if (fd < 0)
     {
-      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
-        ev_io_stop (server->loop, &server->accept_io); /* until the next sweep */
-      return errno == ECONNABORTED || errno == EINTR;
+      int error = errno;
+
+      if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM)
+        pause_accepting (server, error); /* until the next sweep */
+      return error == ECONNABORTED || error == EINTR;
     }
+  gs_counter_add (GS_COUNTER_CALLERS_ACCEPTED, 1);
   if (server->n_connections >= server->options.max_connections + SERVER_EXCESS_MAX
       || setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on) != 0)
     {
--- a/src/gentian/log/counter.h
+++ b/src/gentian/log/counter.h
@@ -15,6 +15,9 @@
   X (REQUESTS, "gentian_requests_total", "requests received from callers and other daemons")       \
   X (OVERLAPPING, "gentian_requests_overlapping_total",                                            \
      "requests processed while an earlier one of their connection had no answer")                  \
+  X (CALLERS_ACCEPTED, "gentian_callers_accepted_total", "connections of callers accepted")        \
+  X (ACCEPT_PAUSES, "gentian_accept_pauses_total",                                                 \
+     "times that accepting callers stopped for lack of a resource")                                \
   X (ANSWERS, "gentian_answers_total", "complete answers of upstreams passed on")                  \
   X (REJECTED_NOT_RUN, "gentian_rejected_not_run_total", "requests rejected as not-run")           \
   X (REJECTED_MAY_HAVE_RUN, "gentian_rejected_may_have_run_total",                                 \
--- a/src/gentian/log/histogram.h
+++ b/src/gentian/log/histogram.h
@@ -29,7 +29,9 @@
   X (ATTEMPT, "gentian_attempt_seconds",                                                           \
      "time from the start of an attempt until the first byte of its answer")                       \
   X (STORE_CALL, "gentian_store_call_seconds",                                                     \
-     "duration of a call to the platform's store that does not wait for a record")
+     "duration of a call to the platform's store that does not wait for a record")                 \
+  X (LOOP_TURN, "gentian_loop_turn_seconds",                                                       \
+     "time from the wake-up of the event loop until it waits again")
 
 typedef enum
 {
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -16,6 +16,7 @@
 #include "../gentian/http/planned_stop.h"
 #include "../gentian/log/counter.h"
 #include "../gentian/log/log.h"
+#include "../gentian/log/loop_watch.h"
 
 enum
 {
@@ -206,6 +207,7 @@
 {
   g_autoptr (GError) error = NULL;
   Services services = { .loop = loop };
+  GsLoopWatch *loop_watch = gs_loop_watch_new (loop);
   uint32_t cut;
 
   if (!start_services (&services, settings, &error))
@@ -227,6 +229,7 @@
   if (cut > 0 || gs_settings_uses_store (settings))
     return cut > 0 ? EXIT_CUT : EXIT_SUCCESS; /* exits without joining the threads */
   stop_services (&services);
+  gs_loop_watch_free (loop_watch);
   return EXIT_SUCCESS;
 }
 
