--- a/test/unit/test_caller_server.c
+++ b/test/unit/test_caller_server.c
@@ -1,5 +1,7 @@
 /* Unit tests of http/caller_server and http/caller_connection through the entry: callers that
  * pipeline, read slowly or leave. Callers and backend servers are sockets of the test. */
+#include <sys/resource.h>
+
 #include "../../src/gentian/http/caller_server.h"
 #include "entry_fixture.h"
 
@@ -9,6 +11,7 @@
   RESPONSES_BYTES_MAX = 16 * 1024,
   MANY = GS_CALLER_REQUESTS_MAX + 4,
   CALLER_BUFFER_BYTES = 64 * 1024,
+  CALLER_CONNECT_MS = 1000, /* for which the users' callers try to connect */
 };
 
 #define GET(path) "GET " path " HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -438,6 +441,74 @@
 }
 END_TEST
 
+/* Connects a caller, which waits in the backlog as the process has no descriptor left for it.
+ * RETURN VALUE: the caller; BEFORE: the limit of descriptors to restore. */
+static int
+connect_without_descriptors (EntryFixture *fixture, struct rlimit *before)
+{
+  struct sockaddr_in address = loopback ((uint16_t)fixture->settings.entry_port);
+  int caller = socket (AF_INET, SOCK_STREAM, 0);
+  int next = dup (caller);
+  struct rlimit limit;
+
+  close (next);
+  ck_assert_int_eq (connect (caller, (struct sockaddr *)&address, sizeof address), 0);
+  ck_assert_int_eq (getrlimit (RLIMIT_NOFILE, before), 0);
+  limit = (struct rlimit){ .rlim_cur = (rlim_t)next, .rlim_max = before->rlim_max };
+  ck_assert_int_eq (setrlimit (RLIMIT_NOFILE, &limit), 0);
+  run_steps (fixture, 20);
+  return caller;
+}
+
+static bool
+is_ready (EntryFixture *fixture)
+{
+  bool ready = gs_core_ready (gs_engine_lock (fixture->engine));
+
+  gs_engine_unlock (fixture->engine);
+  return ready;
+}
+
+/* Guards against a daemon that says that it is ready while callers wait in its backlog. */
+START_TEST (daemon_that_cannot_accept_callers_is_not_ready)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE, NULL);
+  struct rlimit before;
+  int caller;
+  bool ready;
+
+  ck_assert (is_ready (fixture));
+  caller = connect_without_descriptors (fixture, &before);
+  ready = is_ready (fixture);
+  setrlimit (RLIMIT_NOFILE, &before);
+  ck_assert (!ready);
+  run_steps (fixture, CALLER_CONNECT_MS);
+  ck_assert (is_ready (fixture));
+  close (caller);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
+/* Guards against callers that wait in the backlog although descriptors are free again. */
+START_TEST (callers_are_accepted_soon_after_descriptors_are_free_again)
+{
+  EntryFixture *fixture = entry_fixture_new (GS_REPEAT_SAFE, NULL);
+  char text[ANSWER_BYTES_MAX];
+  struct rlimit before;
+  int caller = connect_without_descriptors (fixture, &before);
+
+  setrlimit (RLIMIT_NOFILE, &before);
+  send_text (caller, "GET /v1/entries HTTP/1.1\r\nHost: h\r\n\r\n");
+  for (int64_t start_us = g_get_monotonic_time ();
+       g_get_monotonic_time () - start_us < CALLER_CONNECT_MS * GS_US_PER_MS;)
+    run_loop (fixture);
+  read_answer (caller, text);
+  ck_assert_ptr_nonnull (strstr (text, "HTTP/1.1 200"));
+  close (caller);
+  entry_fixture_free (fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("caller_server",
               &safe_requests_overlap_and_are_answered_in_order,
               &other_requests_wait_for_those_before_them,
@@ -447,4 +518,6 @@
               &connection_that_breaks_cancels_all_its_attempts,
               &slow_reader_stops_its_own_connection_alone,
               &body_is_asked_for_when_the_earlier_answers_were_sent,
-              &packets_do_not_matter)
+              &packets_do_not_matter,
+              &daemon_that_cannot_accept_callers_is_not_ready,
+              &callers_are_accepted_soon_after_descriptors_are_free_again)
