Repeat a read of the tables that hung at once

Cause: a read that the store does not answer is given up after 2.1 s, and was repeated 0.5 s after that. The pause protects a store that refuses calls at once; after a read that hung it only adds to the time for which a failure domain has no reader. Change: the interval counts from the start of the read. Measured: test_store_watcher, read_that_hung_is_repeated_at_once: repeated after 501 ms before, now within 200 ms.

--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -90,7 +90,8 @@
   int64_t tables_read_us;   /* when tables in force were read here that had not been before */
   bool tables_continue;     /* the next read continues from `tables_position` */
   bool tables_call_running;
-  uint64_t peer_position; /* of the peer that was last found to be ahead */
+  int64_t tables_called_us; /* start of the last call for tables */
+  uint64_t peer_position;   /* of the peer that was last found to be ahead */
   int64_t next_pull_us;
 };
 
@@ -520,6 +521,7 @@
       return;
     }
   watcher->tables_call_running = true;
+  watcher->tables_called_us = g_get_monotonic_time ();
   start_call (watcher, GS_STORE_TOPIC_TABLES, !watcher->tables_continue, watcher->tables_position);
 }
 
@@ -643,6 +645,15 @@
                next_check_delay_us (watcher, call->result, watcher->rank));
 }
 
+/* Time until a read of the tables that failed is repeated. One that hung was longer than that. */
+static int64_t
+tables_retry_delay_us (const GsStoreWatcher *watcher)
+{
+  int64_t interval_us = watcher->reader ? WATCHER_RETRY_US : WATCHER_CHECK_INTERVAL_US;
+
+  return MAX (watcher->tables_called_us + interval_us - g_get_monotonic_time (), 0);
+}
+
 static void
 complete_tables_call (GsStoreWatcher *watcher, StoreCall *call)
 {
@@ -659,8 +670,7 @@
   if (call->result == GS_STORE_OK || call->result == GS_STORE_GAP)
     start_tables_call (watcher);
   else
-    start_timer (watcher, &watcher->tables_retry,
-                 watcher->reader ? WATCHER_RETRY_US : WATCHER_CHECK_INTERVAL_US);
+    start_timer (watcher, &watcher->tables_retry, tables_retry_delay_us (watcher));
 }
 
 static void
