Read the tables from the store when other daemons do not send them

Callers saw: requests handled by an older version after its bound (CONFIG). Cause: only the reader of a failure domain reads tables. All others rely on relays and pulls, whose connections may be dead for seconds without a sign; a daemon that knew that it was behind did nothing but repeat a pull over the same connections. Change: a daemon that has known of later tables for 0.8 s reads them from the store, which needs one new connection and no other daemon. So that it knows, a daemon that reads a new version states its position to its domain by datagrams. What the store does not have when it is asked counts as absent, so a position of an earlier era does not keep daemons reading.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -396,7 +396,10 @@
 void
 core_hear_tables_position (GsCore *core, uint64_t position)
 {
-  if (core->tables_heard_us == 0 && position > gs_config_log_position (core->config_log))
+  if (position <= gs_config_log_position (core->config_log))
+    return;
+  core->tables_heard_position = MAX (core->tables_heard_position, position);
+  if (core->tables_heard_us == 0)
     core->tables_heard_us = core->now_us;
 }
 
@@ -433,6 +436,9 @@
   gs_config_log_end_snapshot (core->config_log, snapshot->position);
   log_tables_snapshot (core, snapshot, applied);
   core->tables_heard_us = 0;
+  gs_members_set_position (core->members, gs_config_log_position (core->config_log));
+  if (snapshot->read_here)
+    gs_members_announce_position (core->members);
   apply_tables (core);
 }
 
@@ -873,7 +879,14 @@
                           .n_ranks = gs_members_domain_size (core->members),
                           .heard_us = core->reader_heard_us,
                           .preceding_us = core->reader_preceding_us,
-                          .available_us = core->reader_available_us };
+                          .available_us = core->reader_available_us,
+                          .behind_us = core->tables_heard_us };
+}
+
+uint64_t
+gs_core_tables_heard_position (const GsCore *core)
+{
+  return core->tables_heard_position;
 }
 
 int64_t
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -514,6 +514,9 @@
 /** RETURN VALUE: what this daemon knows about the readers of its domain, but for taken_over_us. */
 GsReaderState gs_core_reader_state (const GsCore *core);
 
+/** RETURN VALUE: position of the latest tables that another daemon stated to have; 0: none. */
+uint64_t gs_core_tables_heard_position (const GsCore *core);
+
 /** RETURN VALUE: time for which callers may cache address lookup answers, in microseconds. */
 int64_t gs_core_address_lookup_ttl_us (const GsCore *core);
 
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -199,7 +199,8 @@
   int64_t reader_heard_us; /* see GsReaderState */
   int64_t reader_preceding_us;
   int64_t reader_available_us;
-  int64_t tables_pulled_us; /* when tables were last pulled because of a registry update */
+  int64_t tables_pulled_us;       /* when tables were last pulled because of a registry update */
+  uint64_t tables_heard_position; /* the latest that another daemon stated to have */
   int64_t tables_heard_us; /* when later tables than those in force were first heard of; 0: never */
   /* store position up to which changes were sent to all daemons, by this one or another reader */
   uint64_t registry_sent_to_all;
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -553,7 +553,8 @@
   apply_update (members, &message->from);
   for (uint32_t i = 0; i < message->n_updates; i++)
     apply_update (members, &message->updates[i]);
-  if (message->position > members->position && message->position >= members->newest_position)
+  if (message->kind != GS_MEMBER_MESSAGE_POSITION && message->position > members->position
+      && message->position >= members->newest_position)
     {
       members->newest_position = message->position;
       members->newest_address = from;
@@ -575,6 +576,7 @@
       send_all_members (members, &from);
       break;
     case GS_MEMBER_MESSAGE_MEMBERS:
+    case GS_MEMBER_MESSAGE_POSITION:
       break;
     }
 }
@@ -634,6 +636,24 @@
   members->position = position;
 }
 
+void
+gs_members_announce_position (GsMembers *members)
+{
+  const GsMemberInfo *self = &member_at (members, 0)->info;
+
+  for (uint32_t i = 1; i < members->members->len; i++)
+    {
+      const GsMemberInfo *info = &member_at (members, i)->info;
+      GsMemberMessage message = { .kind = GS_MEMBER_MESSAGE_POSITION,
+                                  .digest = members->digest,
+                                  .position = members->position,
+                                  .from = *self };
+      GsPeerAddress to = address_of (info);
+      if (info->state != GS_MEMBER_DEAD && strcmp (info->failure_domain, self->failure_domain) == 0)
+        members->options.message_handler (&to, &message, members->options.data);
+    }
+}
+
 uint64_t
 gs_members_newest_position (const GsMembers *members, GsPeerAddress *address)
 {
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -61,6 +61,7 @@
   GS_MEMBER_MESSAGE_PING_REQUEST = 2, /**< asks the receiver to ping `target` */
   GS_MEMBER_MESSAGE_PULL = 3,         /**< asks for the complete member list */
   GS_MEMBER_MESSAGE_MEMBERS = 4,      /**< answer to a pull */
+  GS_MEMBER_MESSAGE_POSITION = 5,     /**< only states the sender's position */
 } GsMemberMessageKind;
 
 /** A membership message; `updates` is owned by the holder of the message. */
@@ -128,6 +129,10 @@
 /** Sets the log position included in messages. */
 void gs_members_set_position (GsMembers *members, uint64_t position);
 
+/** States the log position to all members of this failure domain. Receivers do not pull from this
+ * daemon because of it, which could not serve all at once. */
+void gs_members_announce_position (GsMembers *members);
+
 /** RETURN VALUE: the highest log position that a message of another daemon stated, with its
  * ADDRESS; 0 when none is ahead of this daemon. Of several daemons at that position the one heard
  * from last is returned, since the others may have stopped. */
--- a/src/gentian/core/reader.c
+++ b/src/gentian/core/reader.c
@@ -38,6 +38,14 @@
   return now_us >= gs_reader_takeover_us (state);
 }
 
+bool
+gs_reader_must_read_tables (const GsReaderState *state, int64_t now_us)
+{
+  bool behind = state->behind_us != 0 && now_us - state->behind_us >= GS_READER_BEHIND_MAX_US;
+
+  return behind || gs_reader_must_read (state, now_us);
+}
+
 bool
 gs_reader_continues (const GsReaderState *state, int64_t now_us)
 {
--- a/src/gentian/core/registry_link.c
+++ b/src/gentian/core/registry_link.c
@@ -131,6 +131,7 @@
     return;
   core->era_began_us = core->now_us;
   core->registry_sent_to_all = 0;
+  core->tables_heard_position = 0;
   core_log_event (core, GS_LOG_EVENT_STORE_ERA_TAKEN,
                   "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT " listed=%u known=%u",
                   update->era, before, update->n_changes, gs_registry_size (core->registry));
--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -91,7 +91,11 @@
   bool tables_continue;     /* the next read continues from `tables_position` */
   bool tables_call_running;
   int64_t tables_called_us; /* start of the last call for tables */
-  uint64_t peer_position;   /* of the peer that was last found to be ahead */
+  /* Position of tables that another daemon was said to have when the last call started, and the
+   * same of the last call that the store answered: what it did not have then need not be read. */
+  uint64_t tables_called_position;
+  uint64_t tables_absent_position;
+  uint64_t peer_position; /* of the peer that was last found to be ahead */
   int64_t next_pull_us;
 };
 
@@ -136,6 +140,7 @@
   watcher->continues = false;
   watcher->tables_position = 0;
   watcher->tables_continue = false;
+  watcher->tables_absent_position = 0;
 }
 
 /* Enters ERA, which an answer stated. The store counts as having just returned, so that
@@ -301,12 +306,23 @@
     gs_engine_post (watcher->engine, &event);
 }
 
+static uint64_t
+tables_heard_position (GsStoreWatcher *watcher)
+{
+  uint64_t position = gs_core_tables_heard_position (gs_engine_lock (watcher->engine));
+
+  gs_engine_unlock (watcher->engine);
+  return position;
+}
+
 static GsReaderState
 reader_state (GsStoreWatcher *watcher)
 {
   GsReaderState state = gs_core_reader_state (gs_engine_lock (watcher->engine));
 
   gs_engine_unlock (watcher->engine);
+  if (tables_heard_position (watcher) <= watcher->tables_absent_position)
+    state.behind_us = 0;
   state.heard_us = MAX (state.heard_us, watcher->created_us);
   state.available_us = MAX (state.available_us, watcher->created_us);
   state.taken_over_us = watcher->taken_over_us;
@@ -339,6 +355,16 @@
   return must || lacks_state (watcher);
 }
 
+/* Whether this daemon must read the tables. */
+static bool
+must_read_tables (GsStoreWatcher *watcher)
+{
+  GsReaderState state = reader_state (watcher);
+
+  return watcher->reader || gs_reader_must_read_tables (&state, g_get_monotonic_time ())
+         || lacks_state (watcher);
+}
+
 static int64_t
 next_check_delay_us (GsStoreWatcher *watcher, GsStoreResult result, uint32_t rank)
 {
@@ -515,13 +541,14 @@
 {
   if (watcher->tables_call_running || ev_is_active (&watcher->tables_retry))
     return;
-  if (!watcher->reader && !lacks_state (watcher))
+  if (!must_read_tables (watcher))
     {
       watcher->tables_continue = false;
       return;
     }
   watcher->tables_call_running = true;
   watcher->tables_called_us = g_get_monotonic_time ();
+  watcher->tables_called_position = tables_heard_position (watcher);
   start_call (watcher, GS_STORE_TOPIC_TABLES, !watcher->tables_continue, watcher->tables_position);
 }
 
@@ -664,6 +691,7 @@
     {
       process_tables_page (watcher, call);
       watcher->tables_continue = true;
+      watcher->tables_absent_position = watcher->tables_called_position;
     }
   else if (call->result == GS_STORE_GAP)
     watcher->tables_continue = false;
--- a/src/gentian/peer/wire.c
+++ b/src/gentian/peer/wire.c
@@ -63,7 +63,7 @@
 {
   GsMsgpackReader list;
 
-  message->kind = (GsMemberMessageKind)gs_msgpack_read_uint (reader, GS_MEMBER_MESSAGE_MEMBERS);
+  message->kind = (GsMemberMessageKind)gs_msgpack_read_uint (reader, GS_MEMBER_MESSAGE_POSITION);
   message->sequence = gs_msgpack_read_uint (reader, UINT64_MAX);
   message->digest = gs_msgpack_read_uint (reader, UINT64_MAX);
   message->position = gs_msgpack_read_uint (reader, UINT64_MAX);
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -433,6 +433,33 @@
 }
 END_TEST
 
+/* Guards against an announcement that all members of a domain answer with a pull from one daemon,
+ * and against one that crosses failure domains. */
+START_TEST (announced_position_is_stated_to_the_own_domain_and_not_pulled)
+{
+  Network network;
+  GsPeerAddress address;
+
+  network_start (&network);
+  while (network.datagrams.length > 0)
+    deliver (&network);
+  gs_members_set_position (network.members[0], 7);
+  network.sent[0] = 0;
+  gs_members_announce_position (network.members[0]);
+  ck_assert_uint_eq (network.sent[0], NODES / 3 - 1);
+  while (network.datagrams.length > 0)
+    {
+      Datagram *datagram = g_queue_pop_head (&network.datagrams);
+      ck_assert_uint_eq (datagram->message.position, 7);
+      ck_assert_int_eq (datagram->to % 3, 0);
+      gs_members_receive (network.members[datagram->to], &datagram->message, network.now_us);
+      ck_assert_uint_eq (gs_members_newest_position (network.members[datagram->to], &address), 0);
+      g_free (datagram);
+    }
+  network_free (&network);
+}
+END_TEST
+
 /* Guards against messages that grow with the number of members. */
 START_TEST (messages_per_member_are_bounded)
 {
@@ -553,6 +580,7 @@
               &member_believed_dead_learns_it_from_the_ack,
               &restart_with_an_older_incarnation_refutes_its_death,
               &last_sender_of_the_position_is_pulled_from,
+              &announced_position_is_stated_to_the_own_domain_and_not_pulled,
               &messages_per_member_are_bounded,
               &large_fleet_is_probed_half_as_often,
               &updates_forwarded_to_two_relays_reach_the_domain)
--- a/test/unit/test_reader.c
+++ b/test/unit/test_reader.c
@@ -319,10 +319,27 @@
 }
 END_TEST
 
+/* Guards against a daemon that waits without end for tables that others have, and against one that
+ * calls the store for tables that are on their way. */
+START_TEST (daemon_that_is_behind_reads_the_tables_itself)
+{
+  GsReaderState state = { .rank = 9, .n_ranks = 99, .heard_us = GS_US_PER_S };
+  int64_t now_us = GS_US_PER_S + 1;
+
+  state.available_us = state.heard_us;
+  ck_assert (!gs_reader_must_read_tables (&state, now_us));
+  state.behind_us = now_us;
+  ck_assert (!gs_reader_must_read_tables (&state, now_us + GS_READER_BEHIND_MAX_US - 1));
+  ck_assert (gs_reader_must_read_tables (&state, now_us + GS_READER_BEHIND_MAX_US));
+  ck_assert (!gs_reader_must_read (&state, now_us + GS_READER_BEHIND_MAX_US));
+}
+END_TEST
+
 FIXTURE_MAIN ("reader",
               &configuration_is_applied_in_time_whichever_first_ranks_are_lost,
               &configuration_is_applied_in_time_whatever_is_lost,
               &one_daemon_reads_at_a_time,
               &daemon_that_took_over_reads_until_one_before_it_does,
               &readers_that_the_store_does_not_answer_are_relieved_one_after_another,
-              &new_reader_continues_from_recent_registrations_only)
+              &new_reader_continues_from_recent_registrations_only,
+              &daemon_that_is_behind_reads_the_tables_itself)
