Send pulls of tables and registrations as datagrams

Cause: a pull went over a kept connection to the daemon that is ahead. If that connection is dead without a sign, it swallows the pull and each repetition until the transport gives it up, 2 s after the first one. Change: pulls go as datagrams where the fleet uses these. They may be lost, and are sent again. Measured: test_store_watcher, pulls_need_no_connection, failed before (0 pulls arrived at a peer without a listener) and passes.

--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -100,11 +100,20 @@
     }
 }
 
+/* Whether MESSAGE may be lost, as it is sent again while it has no effect. A connection may be dead
+ * without a sign, and would then swallow each repetition for seconds. */
+static bool
+is_repeated (const GsWireMessage *message)
+{
+  return message->kind == GS_WIRE_MEMBER_MESSAGE || message->kind == GS_WIRE_TABLES_PULL
+         || message->kind == GS_WIRE_REGISTRY_PULL;
+}
+
 static void
 send_message (GsEngine *engine, const GsPeerAddress *to, const GsWireMessage *message)
 {
-  GsTransportMode mode = message->kind == GS_WIRE_MEMBER_MESSAGE ? GS_TRANSPORT_PREFER_DATAGRAM
-                                                                 : GS_TRANSPORT_CONNECTION;
+  GsTransportMode mode
+      = is_repeated (message) ? GS_TRANSPORT_PREFER_DATAGRAM : GS_TRANSPORT_CONNECTION;
 
   gs_transport_send (engine->transport, to, mode, gs_wire_encode (message));
 }
--- a/test/unit/test_store_watcher.c
+++ b/test/unit/test_store_watcher.c
@@ -43,6 +43,7 @@
   uint64_t peer_position; /* 0: there is no peer */
   uint64_t sequence;
   int64_t stated_us;
+  uint32_t pulls; /* of the tables, that arrived by datagrams */
 } Daemon;
 
 static GsDocument *
@@ -167,7 +168,7 @@
   send_to_daemon (daemon, &message);
 }
 
-/* The peer answers pings, and no pull. */
+/* The peer answers pings, and counts pulls without answering them. */
 static void
 answer_pings (Daemon *daemon)
 {
@@ -182,6 +183,7 @@
       if (message.kind == GS_WIRE_MEMBER_MESSAGE
           && message.member_message.kind == GS_MEMBER_MESSAGE_PING)
         send_member_message (daemon, GS_MEMBER_MESSAGE_ACK, message.member_message.sequence);
+      daemon->pulls += message.kind == GS_WIRE_TABLES_PULL ? 1 : 0;
       gs_wire_clear (&message);
     }
 }
@@ -311,6 +313,20 @@
 }
 END_TEST
 
+/* Guards against pulls that a dead connection swallows: nothing listens where the peer's
+ * connections would be accepted. */
+START_TEST (pulls_need_no_connection)
+{
+  Daemon *daemon = daemon_new (true);
+
+  daemon->platform.revision = 2;
+  daemon->peer_position = 2;
+  ck_assert (gets_revision (daemon, 2, APPLY_MS));
+  ck_assert_uint_ge (daemon->pulls, 1);
+  daemon_free (daemon);
+}
+END_TEST
+
 /* Guards against a pause after a read that has taken longer than the pause already. */
 START_TEST (read_that_hung_is_repeated_at_once)
 {
@@ -329,4 +345,5 @@
 FIXTURE_MAIN ("store_watcher",
               &daemon_whose_pulls_get_no_answer_reads_the_store,
               &daemon_that_is_not_behind_leaves_the_store_to_the_reader,
+              &pulls_need_no_connection,
               &read_that_hung_is_repeated_at_once)
