Let two daemons of each failure domain read the tables, at different times

Cause: the tables of a domain depended on one waiting read of one daemon. All domains' reads end with the same change and began anew at the same moment, so one fault made all of them hang for the same 2.1 s; a lost reader was replaced after 1.2 to 1.6 s. Change: the first two ranks of a domain read the tables. The wait after a change is cut to a part that differs between all of these readers, so that their reads end at different times from then on.

--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -870,6 +870,23 @@
   return size;
 }
 
+uint32_t
+gs_members_domain_index (const GsMembers *members, uint32_t *n)
+{
+  g_autoptr (GHashTable) names = g_hash_table_new (g_str_hash, g_str_equal);
+  const char *own = member_at (members, 0)->info.failure_domain;
+  uint32_t index = 0;
+
+  for (uint32_t i = 0; i < members->members->len; i++)
+    {
+      const char *name = member_at (members, i)->info.failure_domain;
+      if (g_hash_table_add (names, (gpointer)name) && strcmp (name, own) < 0)
+        index++;
+    }
+  *n = g_hash_table_size (names);
+  return index;
+}
+
 bool
 gs_members_precedes (const GsMembers *members, const GsMemberInfo *member, uint64_t key)
 {
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -189,6 +189,10 @@
 /** RETURN VALUE: number of alive members in this daemon's failure domain, itself included. */
 uint32_t gs_members_domain_size (const GsMembers *members);
 
+/** RETURN VALUE: index of this daemon's failure domain among those of the members by name; N is
+ * their number. */
+uint32_t gs_members_domain_index (const GsMembers *members, uint32_t *n);
+
 /** RETURN VALUE: whether MEMBER is in this daemon's failure domain and comes before it in the ranks
  * for KEY. */
 bool gs_members_precedes (const GsMembers *members, const GsMemberInfo *member, uint64_t key);
--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -50,6 +50,7 @@
 {
   GsStoreWatcher *watcher;
   GsStoreTopic topic;
+  uint32_t wait_ms;
   bool newest; /* read the newest record of each key, not the records from `from` on */
   uint64_t from;
   uint64_t era;       /* to which `from` belongs */
@@ -89,6 +90,7 @@
   uint64_t tables_position; /* in `era` */
   int64_t tables_read_us;   /* when tables in force were read here that had not been before */
   bool tables_continue;     /* the next read continues from `tables_position` */
+  bool tables_changed;      /* the last read of the tables ended with a change */
   bool tables_call_running;
   int64_t tables_called_us; /* start of the last call for tables */
   /* Position of tables that another daemon was said to have when the last call started, and the
@@ -355,6 +357,15 @@
   return must || lacks_state (watcher);
 }
 
+/* Whether other daemons have had later tables for so long that this one must read them. */
+static bool
+is_behind (GsStoreWatcher *watcher)
+{
+  GsReaderState state = reader_state (watcher);
+
+  return gs_reader_is_behind (&state, g_get_monotonic_time ());
+}
+
 /* Whether this daemon must read the tables. */
 static bool
 must_read_tables (GsStoreWatcher *watcher)
@@ -365,6 +376,15 @@
          || lacks_state (watcher);
 }
 
+/* Time until a daemon that is not the first reader calls the store again after a failure. */
+static int64_t
+others_retry_delay_us (GsStoreWatcher *watcher)
+{
+  if (lacks_state (watcher))
+    return WATCHER_RETRY_US;
+  return (int64_t)(WATCHER_RETRY_OTHERS_US * (0.6 + 0.8 * gs_random_unit (&watcher->random)));
+}
+
 static int64_t
 next_check_delay_us (GsStoreWatcher *watcher, GsStoreResult result, uint32_t rank)
 {
@@ -375,9 +395,7 @@
   if (rank == 0)
     return WATCHER_RETRY_US;
   watcher->taken_over_us = 0;
-  if (lacks_state (watcher))
-    return WATCHER_RETRY_US;
-  return (int64_t)(WATCHER_RETRY_OTHERS_US * (0.6 + 0.8 * gs_random_unit (&watcher->random)));
+  return others_retry_delay_us (watcher);
 }
 
 /* Time until a daemon that does not read checks again whether it must. */
@@ -487,8 +505,7 @@
   if (call->newest)
     call->result = gs_store_read_newest (store, call->topic, &call->page);
   else
-    call->result = gs_store_read (store, call->topic, call->from,
-                                  tables ? WATCHER_TABLES_WAIT_MS : 0, &call->page);
+    call->result = gs_store_read (store, call->topic, call->from, call->wait_ms, &call->page);
   check_era (call);
   if (tables && call->result == GS_STORE_OK)
     call->tables = gs_store_decode_tables (store, GS_ENGINE_STORE_WORKSPACE, &call->page);
@@ -511,6 +528,20 @@
   g_free (call);
 }
 
+/* Longest wait of the next read of the tables. */
+static uint32_t
+tables_wait_ms (GsStoreWatcher *watcher)
+{
+  const GsMembers *members = gs_core_members (gs_engine_lock (watcher->engine));
+  uint32_t n_domains;
+  uint32_t domain = gs_members_domain_index (members, &n_domains);
+
+  gs_engine_unlock (watcher->engine);
+  if (!watcher->tables_changed)
+    return WATCHER_TABLES_WAIT_MS;
+  return gs_reader_first_wait_ms (watcher->rank, domain, n_domains, WATCHER_TABLES_WAIT_MS);
+}
+
 static void
 start_call (GsStoreWatcher *watcher, GsStoreTopic topic, bool newest, uint64_t from)
 {
@@ -520,6 +551,7 @@
   call->topic = topic;
   call->newest = newest;
   call->from = from;
+  call->wait_ms = topic == GS_STORE_TOPIC_TABLES ? tables_wait_ms (watcher) : 0;
   call->era = watcher->era;
   call->state = store_state (watcher);
   watcher->threads[topic] = g_thread_new ("store", run_call, call);
@@ -613,6 +645,8 @@
             reader ? "yes" : "no", state->rank,
             (g_get_monotonic_time () - state->heard_us) / GS_US_PER_MS,
             reader && !can_continue (watcher, state) ? "yes" : "no");
+  if (reader && !watcher->reader)
+    ev_timer_stop (gs_engine_loop (watcher->engine), &watcher->tables_retry);
   watcher->reader = reader;
 }
 
@@ -674,9 +708,10 @@
 
 /* Time until a read of the tables that failed is repeated. One that hung was longer than that. */
 static int64_t
-tables_retry_delay_us (const GsStoreWatcher *watcher)
+tables_retry_delay_us (GsStoreWatcher *watcher)
 {
-  int64_t interval_us = watcher->reader ? WATCHER_RETRY_US : WATCHER_CHECK_INTERVAL_US;
+  int64_t interval_us
+      = watcher->reader || is_behind (watcher) ? WATCHER_RETRY_US : others_retry_delay_us (watcher);
 
   return MAX (watcher->tables_called_us + interval_us - g_get_monotonic_time (), 0);
 }
@@ -691,6 +726,7 @@
     {
       process_tables_page (watcher, call);
       watcher->tables_continue = true;
+      watcher->tables_changed = call->newest || call->page.records->len > 0;
       watcher->tables_absent_position = watcher->tables_called_position;
     }
   else if (call->result == GS_STORE_GAP)
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -460,6 +460,22 @@
 }
 END_TEST
 
+/* Guards against members that disagree on the index of a failure domain. */
+START_TEST (domains_have_the_same_index_at_all_members)
+{
+  Network network;
+  uint32_t n;
+
+  network_start (&network);
+  for (int i = 0; i < NODES; i++)
+    {
+      ck_assert_uint_eq (gs_members_domain_index (network.members[i], &n), (uint32_t)i % 3);
+      ck_assert_uint_eq (n, 3);
+    }
+  network_free (&network);
+}
+END_TEST
+
 /* Guards against messages that grow with the number of members. */
 START_TEST (messages_per_member_are_bounded)
 {
@@ -581,6 +597,7 @@
               &restart_with_an_older_incarnation_refutes_its_death,
               &last_sender_of_the_position_is_pulled_from,
               &announced_position_is_stated_to_the_own_domain_and_not_pulled,
+              &domains_have_the_same_index_at_all_members,
               &messages_per_member_are_bounded,
               &large_fleet_is_probed_half_as_often,
               &updates_forwarded_to_two_relays_reach_the_domain)
--- a/test/unit/test_store_watcher.c
+++ b/test/unit/test_store_watcher.c
@@ -1,14 +1,15 @@
-/* Unit tests of daemon/store_watcher: a daemon with a store of the test, whose only peer is a
- * datagram socket of the test. */
+/* Unit tests of daemon/store_watcher: a daemon with a store of the test, whose peers are datagram
+ * sockets of the test. */
 #include "../../src/gentian/daemon/store_watcher.h"
 #include "../../src/gentian/peer/wire.h"
 #include "entry_fixture.h"
 
 enum
 {
-  OWN_CORES = 100, /* so that the peer precedes the daemon as a reader */
+  PEERS = GS_READER_TABLES_RANKS,
+  OWN_CORES = 100, /* so that the peers precede the daemon as readers */
   PEER_CORES = 1000,
-  STATE_PERIOD_MS = 100, /* at which the peer states what it has */
+  STATE_PERIOD_MS = 100, /* at which a peer states what it has */
   /* The users' ConfigApply on the sites with the strictest one. */
   APPLY_MS = 2000,
   START_MS = 1500,
@@ -38,9 +39,9 @@
   Platform platform;
   GsEngine *engine;
   GsStoreWatcher *watcher;
-  int peer;
-  GsPeerAddress peer_address;
-  uint64_t peer_position; /* 0: there is no peer */
+  int peers[PEERS];
+  GsPeerAddress peer_addresses[PEERS];
+  uint64_t peer_position; /* 0: there are no peers */
   uint64_t sequence;
   int64_t stated_us;
   uint32_t pulls; /* of the tables, that arrived by datagrams */
@@ -133,18 +134,18 @@
 }
 
 static GsMemberInfo
-peer_info (const Daemon *daemon)
+peer_info (const Daemon *daemon, int peer)
 {
-  GsMemberInfo info = fixture_member ("peer", "d0");
+  GsMemberInfo info = fixture_member (peer == 0 ? "first" : "second", "d0");
 
-  info.ipv4 = daemon->peer_address.ipv4;
-  info.peer_port = daemon->peer_address.peer_port;
+  info.ipv4 = daemon->peer_addresses[peer].ipv4;
+  info.peer_port = daemon->peer_addresses[peer].peer_port;
   info.millicores = PEER_CORES;
   return info;
 }
 
 static void
-send_to_daemon (Daemon *daemon, const GsWireMessage *message)
+send_to_daemon (Daemon *daemon, int peer, const GsWireMessage *message)
 {
   struct sockaddr_in address = loopback ((uint16_t)daemon->entry->settings.peer_port);
   g_autoptr (GBytes) bytes = gs_wire_encode (message);
@@ -152,37 +153,37 @@
   const void *data = g_bytes_get_data (bytes, &length);
 
   ck_assert_int_eq (
-      sendto (daemon->peer, data, length, 0, (struct sockaddr *)&address, sizeof address),
+      sendto (daemon->peers[peer], data, length, 0, (struct sockaddr *)&address, sizeof address),
       (ssize_t)length);
 }
 
 static void
-send_member_message (Daemon *daemon, GsMemberMessageKind kind, uint64_t sequence)
+send_member_message (Daemon *daemon, int peer, GsMemberMessageKind kind, uint64_t sequence)
 {
   GsWireMessage message = { .kind = GS_WIRE_MEMBER_MESSAGE,
                             .member_message = { .kind = kind,
                                                 .sequence = sequence,
                                                 .position = daemon->peer_position,
-                                                .from = peer_info (daemon) } };
+                                                .from = peer_info (daemon, peer) } };
 
-  send_to_daemon (daemon, &message);
+  send_to_daemon (daemon, peer, &message);
 }
 
-/* The peer answers pings, and counts pulls without answering them. */
+/* Answers pings, and counts pulls without answering them. */
 static void
-answer_pings (Daemon *daemon)
+answer_pings (Daemon *daemon, int peer)
 {
   char bytes[4096];
   ssize_t length;
 
-  while ((length = recv (daemon->peer, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+  while ((length = recv (daemon->peers[peer], bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
     {
       GsWireMessage message;
       if (!gs_wire_decode (&message, bytes, (size_t)length))
         continue;
       if (message.kind == GS_WIRE_MEMBER_MESSAGE
           && message.member_message.kind == GS_MEMBER_MESSAGE_PING)
-        send_member_message (daemon, GS_MEMBER_MESSAGE_ACK, message.member_message.sequence);
+        send_member_message (daemon, peer, GS_MEMBER_MESSAGE_ACK, message.member_message.sequence);
       daemon->pulls += message.kind == GS_WIRE_TABLES_PULL ? 1 : 0;
       gs_wire_clear (&message);
     }
@@ -190,27 +191,31 @@
 
 /* The peer is a member and reads the store, as its messages say. */
 static void
-state_peer (Daemon *daemon)
+state_peer (Daemon *daemon, int peer)
 {
   GsWireMessage update
       = { .kind = GS_WIRE_REGISTRY_UPDATE,
-          .reply_to = daemon->peer_address,
+          .reply_to = daemon->peer_addresses[peer],
           .registry_update
           = { .from = 1, .to = 1, .from_reader = true, .store = { .available_us = INT64_MAX } } };
 
-  daemon->stated_us = g_get_monotonic_time ();
-  send_member_message (daemon, GS_MEMBER_MESSAGE_PING, ++daemon->sequence);
-  send_to_daemon (daemon, &update);
+  send_member_message (daemon, peer, GS_MEMBER_MESSAGE_PING, ++daemon->sequence);
+  send_to_daemon (daemon, peer, &update);
 }
 
 static void
 run_daemon (Daemon *daemon)
 {
-  if (daemon->peer_position != 0
-      && g_get_monotonic_time () - daemon->stated_us >= STATE_PERIOD_MS * GS_US_PER_MS)
-    state_peer (daemon);
-  if (daemon->peer_position != 0)
-    answer_pings (daemon);
+  bool states = g_get_monotonic_time () - daemon->stated_us >= STATE_PERIOD_MS * GS_US_PER_MS;
+
+  for (int i = 0; daemon->peer_position != 0 && i < PEERS; i++)
+    {
+      if (states)
+        state_peer (daemon, i);
+      answer_pings (daemon, i);
+    }
+  if (states)
+    daemon->stated_us = g_get_monotonic_time ();
   run_loop (daemon->entry);
 }
 
@@ -244,14 +249,25 @@
     run_daemon (daemon);
 }
 
-/* RETURN VALUE: a daemon that has revision 1, as its peer does if there is one. */
+static void
+open_peer (Daemon *daemon, int peer)
+{
+  struct sockaddr_in address = loopback (0);
+  socklen_t length = sizeof address;
+
+  daemon->peers[peer] = socket (AF_INET, SOCK_DGRAM, 0);
+  ck_assert_int_eq (bind (daemon->peers[peer], (struct sockaddr *)&address, length), 0);
+  getsockname (daemon->peers[peer], (struct sockaddr *)&address, &length);
+  daemon->peer_addresses[peer]
+      = (GsPeerAddress){ .ipv4 = INADDR_LOOPBACK, .peer_port = ntohs (address.sin_port) };
+}
+
+/* RETURN VALUE: a daemon that has revision 1, as its peers do if there are any. */
 static Daemon *
-daemon_new (bool with_peer)
+daemon_new (bool with_peers)
 {
   Daemon *daemon = g_new0 (Daemon, 1);
   GsEngineOptions options = { .parse_tables = parse_tables };
-  struct sockaddr_in address = loopback (0);
-  socklen_t length = sizeof address;
   g_autoptr (GError) error = NULL;
 
   daemon->entry = entry_fixture_new (GS_REPEAT_SAFE, NULL);
@@ -260,13 +276,10 @@
   daemon->entry->settings.peer_port = free_port ();
   options.settings = &daemon->entry->settings;
   options.loop = daemon->entry->loop;
-  daemon->peer = socket (AF_INET, SOCK_DGRAM, 0);
-  ck_assert_int_eq (bind (daemon->peer, (struct sockaddr *)&address, length), 0);
-  getsockname (daemon->peer, (struct sockaddr *)&address, &length);
-  daemon->peer_address
-      = (GsPeerAddress){ .ipv4 = INADDR_LOOPBACK, .peer_port = ntohs (address.sin_port) };
+  for (int i = 0; i < PEERS; i++)
+    open_peer (daemon, i);
   daemon->platform.revision = 1;
-  daemon->peer_position = with_peer ? 1 : 0;
+  daemon->peer_position = with_peers ? 1 : 0;
   daemon->engine = gs_engine_new (&options, &error);
   ck_assert_msg (daemon->engine != NULL, "%s", error != NULL ? error->message : "");
   daemon->watcher = gs_store_watcher_new (
@@ -283,7 +296,8 @@
 {
   gs_store_watcher_free (daemon->watcher);
   gs_engine_free (daemon->engine);
-  close (daemon->peer);
+  for (int i = 0; i < PEERS; i++)
+    close (daemon->peers[i]);
   entry_fixture_free (daemon->entry);
   g_free (daemon);
 }
