Be full while callers cannot be accepted, and try again soon

Readiness and address lookups knew of the limit of connections only, so callers were sent to that daemon and waited in its backlog. Change: a server that cannot accept is full, which readiness, lookups and the other daemons take into account already, and it tries again every 0.1 s. Measured: test_caller_server: daemon_that_cannot_accept_callers_is_not_ready and callers_are_accepted_soon_after_descriptors_are_free_again failed before (ready; not within 1 s) and pass.

--- a/src/gentian/http/caller_connection.h
+++ b/src/gentian/http/caller_connection.h
@@ -54,6 +54,7 @@
   int64_t accept_paused_us; /**< since when none is accepted for lack of a resource; 0: not */
   ev_prepare flush;         /**< fed when connections are dirty; never started */
   ev_timer sweep;           /**< closes idle connections */
+  ev_timer accept_retry;    /**< runs while accepting is paused */
   ev_timer check;           /**< looks for callers that left while reading is paused */
   GQueue idle;              /**< of connections, the least recently active first */
   GQueue brief;             /**< the same of those with a short idle time */
--- a/src/gentian/http/caller_server.c
+++ b/src/gentian/http/caller_server.c
@@ -20,6 +20,10 @@
   SERVER_FULL_HYSTERESIS = 10, /* a tenth of the limit */
 };
 
+/** Interval at which a server that could not accept a connection tries again. Callers try to
+ * connect for about a second. */
+#define SERVER_ACCEPT_RETRY_S 0.1
+
 /** Period at which idle connections are closed, and the same while some have a short idle time. */
 #define SERVER_SWEEP_S 5.0
 #define SERVER_BRIEF_SWEEP_S 0.5
@@ -43,7 +47,8 @@
 {
   uint32_t limit = server->options.max_connections;
   bool full
-      = server->n_connections >= (server->full ? limit - limit / SERVER_FULL_HYSTERESIS : limit);
+      = server->accept_paused_us != 0
+        || server->n_connections >= (server->full ? limit - limit / SERVER_FULL_HYSTERESIS : limit);
 
   if (full == server->full)
     return;
@@ -120,22 +125,29 @@
           server->n_connections);
 }
 
-/* Stops accepting because of ERROR. */
+/* Stops accepting because of ERROR, for a while. The listener would be readable all the time. */
 static void
 pause_accepting (GsCallerServer *server, int error)
 {
   ev_io_stop (server->loop, &server->accept_io);
+  ev_timer_again (server->loop, &server->accept_retry);
+  if (server->accept_paused_us != 0)
+    return;
   server->accept_paused_us = g_get_monotonic_time ();
   gs_counter_add (GS_COUNTER_ACCEPT_PAUSES, 1);
   log_accepting (server, false, error);
+  gs_caller_server_update_full (server);
 }
 
+/* Accepting works, perhaps again. */
 static void
-resume_accepting (GsCallerServer *server)
+end_pause (GsCallerServer *server)
 {
+  if (server->accept_paused_us == 0)
+    return;
   log_accepting (server, true, 0);
   server->accept_paused_us = 0;
-  ev_io_start (server->loop, &server->accept_io);
+  gs_caller_server_update_full (server);
 }
 
 static void
@@ -147,8 +159,6 @@
   (void)events;
   sweep_list (&server->idle, server->options.idle_s);
   sweep_list (&server->brief, SERVER_BRIEF_S);
-  if (server->listener >= 0 && server->accept_paused_us != 0)
-    resume_accepting (server);
   start_sweep (server);
 }
 
@@ -202,9 +212,12 @@
       int error = errno;
 
       if (error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM)
-        pause_accepting (server, error); /* until the next sweep */
+        pause_accepting (server, error);
+      else
+        end_pause (server);
       return error == ECONNABORTED || error == EINTR;
     }
+  end_pause (server);
   gs_counter_add (GS_COUNTER_CALLERS_ACCEPTED, 1);
   if (server->n_connections >= server->options.max_connections + SERVER_EXCESS_MAX
       || setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on) != 0)
@@ -230,6 +243,18 @@
     ;
 }
 
+static void
+on_accept_retry (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  GsCallerServer *server = watcher->data;
+
+  ev_timer_stop (loop, watcher);
+  if (server->listener < 0)
+    return;
+  ev_io_start (loop, &server->accept_io);
+  on_accept (loop, &server->accept_io, events); /* no caller may be waiting by now */
+}
+
 void
 gs_caller_server_flush (GsCallerServer *server)
 {
@@ -292,10 +317,12 @@
   ev_prepare_init (&server->flush, on_flush);
   ev_timer_init (&server->sweep, on_sweep, 0., SERVER_SWEEP_S);
   ev_timer_init (&server->check, on_check, 0., SERVER_CHECK_S);
+  ev_timer_init (&server->accept_retry, on_accept_retry, 0., SERVER_ACCEPT_RETRY_S);
   server->accept_io.data = server;
   server->flush.data = server;
   server->sweep.data = server;
   server->check.data = server;
+  server->accept_retry.data = server;
   ev_io_start (server->loop, &server->accept_io);
   start_sweep (server);
   return server;
@@ -343,5 +370,6 @@
   ev_clear_pending (server->loop, &server->flush);
   ev_timer_stop (server->loop, &server->sweep);
   ev_timer_stop (server->loop, &server->check);
+  ev_timer_stop (server->loop, &server->accept_retry);
   g_free (server);
 }
--- a/src/gentian/http/caller_server.h
+++ b/src/gentian/http/caller_server.h
@@ -15,8 +15,8 @@
  *
  *   No connection waits in the backlog. With max_connections open the server is full; it accepts
  * some more in excess, whose requests the owner should refuse, and closes all others as soon as
- * they are opened. Not thread-safe. No callback is called from within a function of this module but
- * those that say so.
+ * they are opened. It is also full while it cannot accept for lack of descriptors or memory. Not
+ * thread-safe. No callback is called from within a function of this module but those that say so.
  */
 #ifndef GS_CALLER_SERVER_H
 #define GS_CALLER_SERVER_H
