--- a/src/gentian/daemon/store_watcher.c
+++ b/src/gentian/daemon/store_watcher.c
@@ -376,15 +376,6 @@
          || lacks_state (watcher);
 }
 
-/* Time until a daemon that is not the first reader calls the store again after a failure. */
-static int64_t
-others_retry_delay_us (GsStoreWatcher *watcher)
-{
-  if (lacks_state (watcher))
-    return WATCHER_RETRY_US;
-  return (int64_t)(WATCHER_RETRY_OTHERS_US * (0.6 + 0.8 * gs_random_unit (&watcher->random)));
-}
-
 static int64_t
 next_check_delay_us (GsStoreWatcher *watcher, GsStoreResult result, uint32_t rank)
 {
@@ -395,7 +386,9 @@
   if (rank == 0)
     return WATCHER_RETRY_US;
   watcher->taken_over_us = 0;
-  return others_retry_delay_us (watcher);
+  if (lacks_state (watcher))
+    return WATCHER_RETRY_US;
+  return (int64_t)(WATCHER_RETRY_OTHERS_US * (0.6 + 0.8 * gs_random_unit (&watcher->random)));
 }
 
 /* Time until a daemon that does not read checks again whether it must. */
@@ -532,13 +525,13 @@
 static uint32_t
 tables_wait_ms (GsStoreWatcher *watcher)
 {
-  const GsMembers *members = gs_core_members (gs_engine_lock (watcher->engine));
   uint32_t n_domains;
-  uint32_t domain = gs_members_domain_index (members, &n_domains);
+  uint32_t domain;
 
-  gs_engine_unlock (watcher->engine);
   if (!watcher->tables_changed || watcher->rank != 0)
     return WATCHER_TABLES_WAIT_MS;
+  domain = gs_members_domain_index (gs_core_members (gs_engine_lock (watcher->engine)), &n_domains);
+  gs_engine_unlock (watcher->engine);
   return gs_reader_first_wait_ms (domain, n_domains, WATCHER_TABLES_WAIT_MS);
 }
 
@@ -645,8 +638,6 @@
             reader ? "yes" : "no", state->rank,
             (g_get_monotonic_time () - state->heard_us) / GS_US_PER_MS,
             reader && !can_continue (watcher, state) ? "yes" : "no");
-  if (reader && !watcher->reader)
-    ev_timer_stop (gs_engine_loop (watcher->engine), &watcher->tables_retry);
   watcher->reader = reader;
 }
 
@@ -711,7 +702,7 @@
 tables_retry_delay_us (GsStoreWatcher *watcher)
 {
   int64_t interval_us
-      = watcher->reader || is_behind (watcher) ? WATCHER_RETRY_US : others_retry_delay_us (watcher);
+      = watcher->reader || is_behind (watcher) ? WATCHER_RETRY_US : WATCHER_CHECK_INTERVAL_US;
 
   return MAX (watcher->tables_called_us + interval_us - g_get_monotonic_time (), 0);
 }
