Review: a second answer in pieces completes one that was broken off

An upstream breaks 3 in 100 downloads off and answers once more, 100 ms later and in pieces of 100 bytes. The client gets a complete 200 whose body ends in the beginning of the second answer's head (MIXED). At fault: http/answer_copy.c looks for the second answer's id no further than what has arrived when the stated length is reached.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,8 +1,9 @@
 # Shell functions of this review's scripts: they start the daemon of the deploy file and the
 # stand-ins of review/standin-2 on loopback, and end what they started. CASE is the case's folder.
 set -u
+CASE=$(cd "$CASE" && pwd)
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
-KIT=build/review-2/kit
+KIT=${KIT:-build/review-2/kit}
 DIR=$(mktemp -d)
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
@@ -33,7 +34,7 @@
 # put_config FILE: publishes a configuration; prints the store's status and the time
 put_config () { local out; out=$("$KIT" put "$STORE" keyed.op config "$1"); note "config $(sed 's/.*"Version":"\([^"]*\)".*/\1/' "$1") acknowledged: $out"; }
 # start_upstream NUMBER SERVICE ZONE WORK_MS [BORN_MS]
-start_upstream () { "$KIT" upstream $((PORT + 1 + $1)) "i-$2-$1" "$2" "$3" "$STORE" "$4" "$PWD/$RECORD" ${5:-} & PIDS+=($!); eval "UPSTREAM_$1=$!"; }
+start_upstream () { "$KIT" upstream $((PORT + 1 + $1)) "i-$2-$1" "$2" "$3" "$STORE" "$4" "$RECORD" ${5:-} & PIDS+=($!); eval "UPSTREAM_$1=$!"; }
 # Numbers of the machines whose Control addresses are the seeds.
 SEEDS=(1 2 3)
 seeds_json () { local s out=; for s in "${SEEDS[@]}"; do out="$out${out:+, }\"127.0.0.1:$(($(front_of $s) + 2))\""; done; echo "[$out]"; }
--- a/review/standin-2/kit.c
+++ b/review/standin-2/kit.c
@@ -6,10 +6,13 @@
  *   kit store PORT                        metadata store: log-append, log-read, log-newest
  *   kit put STORE_PORT TOPIC KEY FILE     appends a keyed record; prints the status and the time
  *   kit upstream PORT ID SERVICE ZONE STORE_PORT WORK_MS RECORD [BORN_MS]
- *                                         registers every 1.5 s, serves requests, writes to RECORD
- *   kit load RATE SECONDS RECORD PORT...  sends RATE requests a second to the ports in turn, each on a
- *                                         connection of its own; writes to RECORD
- *   kit request PORT ID METHOD PATH DEADLINE_MS [BODY]
+ *                                         registers every 1.5 s, serves requests, writes to RECORD;
+ *                                         in the first 6 of each 12 s a share of its answers of
+ *                                         GARBLE_PERCENT is broken off at a random place, and sent
+ *                                         once more 100 ms later, in pieces
+ *   kit look RATE SECONDS RECORD PORT...  as load, with GET /s/N; compares the bodies
+ *   kit load RATE SECONDS RECORD PORT...  sends RATE requests a second to the ports in turn, each
+ * on a connection of its own; writes to RECORD kit request PORT ID METHOD PATH DEADLINE_MS [BODY]
  *                                         sends one request, with the key in API_KEY if that is
  *                                         set; prints status, stamp, body
  *
@@ -41,6 +44,9 @@
   RECORDS_MAX = 100000,
   HEARTBEAT_MS = 1500,
   SLOTS = 4,
+  BODY_BYTES = 600,
+  PIECE_BYTES = 100,
+  GARBLE_S = 6, /* and as long without */
 };
 
 static int64_t
@@ -131,7 +137,8 @@
 {
   size_t length = strlen (name);
 
-  for (const char *line = strstr (message->head, "\r\n"); line != NULL; line = strstr (line, "\r\n"))
+  for (const char *line = strstr (message->head, "\r\n"); line != NULL;
+       line = strstr (line, "\r\n"))
     {
       line += 2;
       if (strncasecmp (line, name, length) == 0 && line[length] == ':')
@@ -226,7 +233,8 @@
   size_t length = strlen (name);
   const char *end = strstr (request->head, " HTTP/");
 
-  for (const char *at = strchr (request->head, '?'); at != NULL && at < end; at = strchr (at + 1, '&'))
+  for (const char *at = strchr (request->head, '?'); at != NULL && at < end;
+       at = strchr (at + 1, '&'))
     if (strncmp (at + 1, name, length) == 0 && at[length + 1] == '=')
       {
         snprintf (value, size, "%.*s", (int)strcspn (at + length + 2, "& "), at + length + 2);
@@ -240,8 +248,8 @@
 {
   char head[256];
   int n = snprintf (head, sizeof head,
-                    "HTTP/1.1 %d X\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n", status, type,
-                    length);
+                    "HTTP/1.1 %d X\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n", status,
+                    type, length);
 
   if (send_all (fd, head, (size_t)n))
     send_all (fd, body, length);
@@ -266,7 +274,8 @@
   first = topic->count;
   while (left >= 4 && topic->count < RECORDS_MAX)
     {
-      size_t size = (size_t)bytes[0] << 24 | (size_t)bytes[1] << 16 | (size_t)bytes[2] << 8 | bytes[3];
+      size_t size
+          = (size_t)bytes[0] << 24 | (size_t)bytes[1] << 16 | (size_t)bytes[2] << 8 | bytes[3];
       Record *record = &topic->records[topic->count];
       if (size > left - 4)
         break;
@@ -287,8 +296,9 @@
 {
   char value[32];
   uint64_t from = argument (request, "From", value, sizeof value) ? strtoull (value, NULL, 10) : 0;
-  int64_t until = now_ms ()
-                  + (argument (request, "WaitMs", value, sizeof value) ? strtoll (value, NULL, 10) : 0);
+  int64_t until
+      = now_ms ()
+        + (argument (request, "WaitMs", value, sizeof value) ? strtoll (value, NULL, 10) : 0);
   size_t length = 16;
   uint8_t *out;
 
@@ -474,6 +484,7 @@
   int work_ms;
   int record;
   int64_t born_ms;
+  int garble_percent;
   int running;
   int waiting;
   pthread_mutex_t lock;
@@ -505,6 +516,60 @@
     send_all (fd, body, strlen (body));
 }
 
+/* Body of the answer to request ID. */
+static void
+make_body (const char *id, char body[BODY_BYTES + 1])
+{
+  size_t length = strlen (id);
+
+  for (size_t i = 0; i < BODY_BYTES; i++)
+    body[i] = i % (length + 1) == length ? ' ' : id[i % (length + 1)];
+  body[BODY_BYTES] = '\0';
+}
+
+static bool
+is_garbling (void)
+{
+  return now_ms () / 1000 % (2 * GARBLE_S) < GARBLE_S;
+}
+
+/* Answers 200 with the body of ID; GARBLED: breaks off, and answers once more late. */
+static void
+reply_download (int fd, const char *id, bool garbled)
+{
+  char text[2048];
+  char body[BODY_BYTES + 1];
+  char what[64];
+  int cut = garbled ? rand () % BODY_BYTES : 0;
+  int n;
+  int head;
+
+  make_body (id, body);
+  head
+      = snprintf (text, sizeof text,
+                  "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 12:00:00 GMT\r\n"
+                  "Content-Type: application/octet-stream\r\nCache-Control: no-store, max-age=0\r\n"
+                  "Content-Length: %d\r\nGentianscale-Server-Load: %d,%d,%d\r\n"
+                  "Gentianscale-Response-Stamp: aa.bb\r\nGentianscale-Request-Id: %s\r\n\r\n",
+                  BODY_BYTES, upstream.running, upstream.waiting, SLOTS, id);
+  n = head + snprintf (text + head, sizeof text - (size_t)head, "%s", body);
+  if (!garbled)
+    {
+      send_all (fd, text, (size_t)n);
+      return;
+    }
+  snprintf (what, sizeof what, "after %d of %d bytes", cut, BODY_BYTES);
+  write_record ("broke-off", id, what);
+  send_all (fd, text, (size_t)(head + cut));
+  sleep_ms (100);
+  for (int sent = 0; sent < n; sent += PIECE_BYTES)
+    {
+      if (!send_all (fd, text + sent, (size_t)(n - sent < PIECE_BYTES ? n - sent : PIECE_BYTES)))
+        return;
+      sleep_ms (5);
+    }
+}
+
 static bool
 has_left (int fd)
 {
@@ -570,9 +635,10 @@
       int status;
 
       header (request, "Gentianscale-Tenant", tenant, sizeof tenant);
-      snprintf (line, sizeof line, "%.*s tenant=%s",
-                (int)(strcspn (request->head, "\r\n") < 120 ? strcspn (request->head, "\r\n") : 120),
-                request->head, tenant);
+      snprintf (
+          line, sizeof line, "%.*s tenant=%s",
+          (int)(strcspn (request->head, "\r\n") < 120 ? strcspn (request->head, "\r\n") : 120),
+          request->head, tenant);
       if (strncmp (request->head, "GET /health ", 12) == 0)
         {
           char extra[160];
@@ -600,6 +666,11 @@
           write_record ("dropped", id, line);
           break;
         }
+      if (status == 200 && strncmp (request->head, "GET ", 4) == 0)
+        {
+          reply_download (fd, id, is_garbling () && rand () % 100 < upstream.garble_percent);
+          continue;
+        }
       write_record (status == 200 ? "answered" : status == 503 ? "refused" : "late", id, line);
       if (status == 503)
         reply_upstream (fd, 503, id, "Gentianscale-Not-Executed: 1\r\n", "");
@@ -663,6 +734,9 @@
   upstream.record = open (arguments[6], O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   upstream.born_ms = arguments[7] != NULL ? strtoll (arguments[7], NULL, 10)
                                           : now.tv_sec * INT64_C (1000) + now.tv_nsec / 1000000;
+  if (getenv ("GARBLE_PERCENT") != NULL)
+    upstream.garble_percent = atoi (getenv ("GARBLE_PERCENT"));
+  srand ((unsigned)upstream.port);
   signal (SIGUSR1, on_drain);
   pthread_create (&thread, NULL, run_heartbeat, NULL);
   return serve (upstream.port, serve_upstream);
@@ -714,6 +788,7 @@
   int64_t start_ms;
   int64_t end_ms;
   const char *key;
+  bool looks;
   int next;
   pthread_mutex_t lock;
 } load = { .lock = PTHREAD_MUTEX_INITIALIZER };
@@ -732,21 +807,43 @@
   int fd = connect_to (atoi (port), 3000);
   char text[1024];
   char id[64];
+  char expected[BODY_BYTES + 1];
   int status = 0;
 
   snprintf (id, sizeof id, "l%d-%d", (int)getpid (), number);
   snprintf (text, sizeof text, "%lld sent id=%s port=%s\n", (long long)now_ms (), id, port);
   write_line (text);
-  snprintf (text, sizeof text,
-            "POST /o/%d HTTP/1.1\r\nHost: h.example\r\nGentianscale-Request-Id: %s\r\n"
-            "Gentianscale-Deadline-Ms: 2000\r\nApi-Key: %s\r\nContent-Length: 5\r\n\r\norder",
-            number, id, load.key);
+  if (load.looks)
+    snprintf (text, sizeof text,
+              "GET /s/%d HTTP/1.1\r\nHost: h.example\r\nGentianscale-Request-Id: %s\r\n"
+              "Gentianscale-Deadline-Ms: 2000\r\n\r\n",
+              number, id);
+  else
+    snprintf (text, sizeof text,
+              "POST /o/%d HTTP/1.1\r\nHost: h.example\r\nGentianscale-Request-Id: %s\r\n"
+              "Gentianscale-Deadline-Ms: 2000\r\nApi-Key: %s\r\nContent-Length: 5\r\n\r\norder",
+              number, id, load.key);
   if (fd >= 0 && send_all (fd, text, strlen (text)) && read_message (fd, reply, true) == 1)
     status = atoi (reply->head + 9);
   if (fd >= 0)
     close (fd);
-  snprintf (text, sizeof text, "%lld got id=%s port=%s status=%d\n", (long long)now_ms (), id, port,
-            status);
+  make_body (id, expected);
+  snprintf (text, sizeof text, "%lld got id=%s port=%s status=%d%s\n", (long long)now_ms (), id,
+            port, status,
+            status != 200 || !load.looks ? ""
+            : reply->body_length == BODY_BYTES && memcmp (reply->body, expected, BODY_BYTES) == 0
+                ? " whole"
+                : " OTHER-BODY");
+  if (strstr (text, "OTHER-BODY") != NULL)
+    {
+      int from = 0;
+      while (from < BODY_BYTES && reply->body[from] == expected[from])
+        from++;
+      for (size_t i = 0; i < reply->body_length; i++)
+        if (reply->body[i] == '\r' || reply->body[i] == '\n')
+          reply->body[i] = '~';
+      snprintf (text + strlen (text) - 1, 200, " from byte %d: %.100s\n", from, reply->body + from);
+    }
   write_line (text);
 }
 
@@ -799,14 +896,15 @@
   FILE *file = fopen (arguments[3], "rb");
   char *bytes = malloc (BODY_MAX);
   size_t length = file != NULL ? fread (bytes, 1, BODY_MAX, file) : 0;
-  int status = file != NULL ? put (atoi (arguments[0]), arguments[1], arguments[2], bytes, length) : 0;
+  int status
+      = file != NULL ? put (atoi (arguments[0]), arguments[1], arguments[2], bytes, length) : 0;
 
   printf ("%d %lld\n", status, (long long)now_ms ());
   return status == 200 ? 0 : 1;
 }
 
-/* Ports below those of the functional tests, and below the range from which the system picks those of
- * clients. */
+/* Ports below those of the functional tests, and below the range from which the system picks those
+ * of clients. */
 static int
 find_ports (int count)
 {
@@ -844,7 +942,8 @@
     return run_put (argv + 2);
   if (argc >= 9 && strcmp (argv[1], "upstream") == 0)
     return run_upstream (argv + 2);
-  if (argc >= 6 && strcmp (argv[1], "load") == 0)
+  load.looks = argc >= 6 && strcmp (argv[1], "look") == 0;
+  if (argc >= 6 && (load.looks || strcmp (argv[1], "load") == 0))
     return run_load (argc - 5, argv + 2);
   if (argc >= 7 && strcmp (argv[1], "request") == 0)
     return run_request (argv + 2);
