Log copies of the tables that a daemon cannot use

Cause: a daemon that cannot decode the tables it gets from another one drops them without a word; GS5102 only shows workspaces=0 and the bytes of the text. Change: GS5111 copy-refused with the position, the reason of the first refusal and the position in force; the counter gentian_tables_copies_refused_total.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -418,6 +418,21 @@
       core->tables_heard_us != 0 ? (core->now_us - core->tables_heard_us) / GS_US_PER_MS : -1);
 }
 
+static void
+log_refused_entries (GsCore *core, const GsTablesSnapshotEvent *snapshot)
+{
+  uint32_t refused = 0;
+
+  for (uint32_t i = 0; i < snapshot->n_entries; i++)
+    refused += snapshot->documents[i] == NULL ? 1 : 0;
+  if (refused > 0)
+    core_log_event (core, GS_LOG_EVENT_TABLES_SNAPSHOT_REFUSED,
+                    "position=%" G_GUINT64_FORMAT " workspaces=%u in_force=%" G_GUINT64_FORMAT
+                    " reason=\"%.160s\"",
+                    snapshot->position, refused, gs_config_log_position (core->config_log),
+                    snapshot->refusal != NULL ? snapshot->refusal : "unknown");
+}
+
 static void
 handle_tables_snapshot (GsCore *core, const GsTablesSnapshotEvent *snapshot)
 {
@@ -425,6 +440,8 @@
       = gs_config_log_accepts_snapshot (core->config_log, snapshot->from, snapshot->position);
   uint32_t applied = 0;
 
+  if (accepted)
+    log_refused_entries (core, snapshot);
   for (uint32_t i = 0; i < snapshot->n_entries; i++)
     if (!accepted)
       gs_document_free (snapshot->documents[i]);
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -168,7 +168,9 @@
   uint64_t from;     /**< position that the snapshot continues from; 0: it is a complete one */
   uint64_t position; /**< log position that the snapshot reaches */
   const GsSnapshotEntry *entries;
-  GsDocument **documents; /**< parsed tables of `entries`; ownership passes */
+  /** parsed tables of `entries`, NULL for those that cannot be used; ownership passes */
+  GsDocument **documents;
+  const char *refusal; /**< why the first of these cannot be used; NULL: not known */
   uint32_t n_entries;
   bool last;      /**< these entries complete the snapshot */
   bool read_here; /**< from the store, not from another daemon */
--- a/src/gentian/core/log_event.h
+++ b/src/gentian/core/log_event.h
@@ -73,6 +73,7 @@
   X (STORE_AVAILABLE, 5108, GS_LOG_LEVEL_NOTICE, "store-back")                                     \
   X (TABLES_REFUSED, 5109, GS_LOG_LEVEL_WARNING, "tables-refused")                                 \
   X (READER_CHANGED, 5110, GS_LOG_LEVEL_NOTICE, "reader-changed")                                  \
+  X (TABLES_SNAPSHOT_REFUSED, 5111, GS_LOG_LEVEL_WARNING, "copy-refused")                          \
   X (STORE_ERA_NOTICED, 5121, GS_LOG_LEVEL_NOTICE, "store-era-noticed")                            \
   X (STORE_ERA_TAKEN, 5122, GS_LOG_LEVEL_NOTICE, "store-era-taken")                                \
   X (CLAIM_DECIDED, 6101, GS_LOG_LEVEL_INFO, "claim-judged")                                       \
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -557,11 +557,12 @@
 }
 
 /* Posts COUNT entries of SNAPSHOT from FIRST on; the event with the last entry completes it. Takes
- * ownership of their DOCUMENTS. */
+ * ownership of their DOCUMENTS. REFUSAL: why the first entry without one was refused. */
 static void
 post_snapshot_entries (GsEngine *engine,
                        const GsTablesSnapshot *snapshot,
                        GsDocument **documents,
+                       const GError *refusal,
                        uint32_t first,
                        uint32_t count)
 {
@@ -570,9 +571,12 @@
                                          .position = snapshot->position,
                                          .entries = snapshot->entries + first,
                                          .documents = documents,
+                                         .refusal = refusal != NULL ? refusal->message : NULL,
                                          .n_entries = count,
                                          .last = first + count == snapshot->n_entries } };
 
+  for (uint32_t i = 0; i < count; i++)
+    gs_counter_add (GS_COUNTER_TABLES_COPIES_REFUSED, documents[i] == NULL ? 1 : 0);
   gs_engine_post (engine, &event);
 }
 
@@ -583,14 +587,12 @@
                         uint32_t count)
 {
   GsDocument *documents[ENGINE_SNAPSHOT_EVENT_ENTRIES];
+  g_autoptr (GError) refusal = NULL;
 
   for (uint32_t i = 0; i < count; i++)
-    {
-      const GsSnapshotEntry *entry = &snapshot->entries[first + i];
-      documents[i] = engine->parse_tables (entry->workspace, "copy", entry->text,
-                                           strlen (entry->text), NULL);
-    }
-  post_snapshot_entries (engine, snapshot, documents, first, count);
+    documents[i]
+        = gs_tables_decode_entry (engine->parse_tables, &snapshot->entries[first + i], &refusal);
+  post_snapshot_entries (engine, snapshot, documents, refusal, first, count);
 }
 
 /* Parses and posts SNAPSHOT, and takes ownership of its contents. */
@@ -629,12 +631,15 @@
 }
 
 static void
-on_tables_decoded (const GsTablesSnapshot *snapshot, GsDocument **documents, void *data)
+on_tables_decoded (const GsTablesSnapshot *snapshot,
+                   GsDocument **documents,
+                   const GError *refusal,
+                   void *data)
 {
   GsEngine *engine = data;
   uint64_t position = tables_position (engine);
 
-  post_snapshot_entries (engine, snapshot, documents, 0, snapshot->n_entries);
+  post_snapshot_entries (engine, snapshot, documents, refusal, 0, snapshot->n_entries);
   if (tables_position (engine) > position)
     gs_engine_push_tables_snapshot (engine);
 }
--- a/src/gentian/daemon/tables_decoder.c
+++ b/src/gentian/daemon/tables_decoder.c
@@ -12,6 +12,7 @@
 {
   GsTablesSnapshot snapshot;
   GsDocument **documents; /* NULL until decoded, and once handed over */
+  GError *refusal;        /* of the first entry that is invalid */
 } Task;
 
 struct GsTablesDecoder
@@ -31,10 +32,18 @@
   for (uint32_t i = 0; task->documents != NULL && i < task->snapshot.n_entries; i++)
     gs_document_free (task->documents[i]);
   g_free (task->documents);
+  g_clear_error (&task->refusal);
   gs_tables_snapshot_clear (&task->snapshot);
   g_free (task);
 }
 
+GsDocument *
+gs_tables_decode_entry (GsTablesParser parse, const GsSnapshotEntry *entry, GError **refusal)
+{
+  return parse (entry->workspace, "copy", entry->text, strlen (entry->text),
+                *refusal == NULL ? refusal : NULL);
+}
+
 /* Thread function of a task. */
 static void
 decode (gpointer data, gpointer user_data)
@@ -44,11 +53,8 @@
 
   task->documents = g_new0 (GsDocument *, task->snapshot.n_entries);
   for (uint32_t i = 0; i < task->snapshot.n_entries; i++)
-    {
-      const GsSnapshotEntry *entry = &task->snapshot.entries[i];
-      task->documents[i] = decoder->options.parse_tables (entry->workspace, "copy", entry->text,
-                                                          strlen (entry->text), NULL);
-    }
+    task->documents[i] = gs_tables_decode_entry (decoder->options.parse_tables,
+                                                 &task->snapshot.entries[i], &task->refusal);
   g_async_queue_push (decoder->completed, task);
   ev_async_send (decoder->options.loop, &decoder->task_completed);
 }
@@ -65,7 +71,8 @@
     {
       if (task->snapshot.position == decoder->newest_position)
         decoder->newest_position = 0; /* one that was invalid may come again */
-      decoder->options.decoded (&task->snapshot, task->documents, decoder->options.data);
+      decoder->options.decoded (&task->snapshot, task->documents, task->refusal,
+                                decoder->options.data);
       g_clear_pointer (&task->documents, g_free);
       free_task (task);
     }
--- a/src/gentian/daemon/tables_decoder.h
+++ b/src/gentian/daemon/tables_decoder.h
@@ -28,9 +28,12 @@
 {
   struct ev_loop *loop;
   GsTablesParser parse_tables; /**< called on the decoder's thread */
-  /** Called on the loop's thread with one document for each entry, NULL where an entry is invalid.
-   * Ownership of the documents passes. */
-  void (*decoded) (const GsTablesSnapshot *snapshot, GsDocument **documents, void *data);
+  /** Called on the loop's thread with one document for each entry, NULL where an entry is invalid,
+   * and the error of the first such entry. Ownership of the documents passes. */
+  void (*decoded) (const GsTablesSnapshot *snapshot,
+                   GsDocument **documents,
+                   const GError *refusal,
+                   void *data);
   void *data;
 } GsTablesDecoderOptions;
 
@@ -39,6 +42,11 @@
 /** Waits for the snapshot that is being decoded; none is handed over any more. NULL is allowed. */
 void gs_tables_decoder_free (GsTablesDecoder *decoder);
 
+/** RETURN VALUE: the tables of ENTRY, or NULL if it is invalid; REFUSAL is set unless it is set
+ * already. */
+GsDocument *
+gs_tables_decode_entry (GsTablesParser parse, const GsSnapshotEntry *entry, GError **refusal);
+
 /** RETURN VALUE: whether SNAPSHOT is large, and so to be decoded here. */
 bool gs_tables_decoder_is_large (const GsTablesSnapshot *snapshot);
 
--- a/src/gentian/log/counter.h
+++ b/src/gentian/log/counter.h
@@ -74,6 +74,8 @@
   X (QUOTA_REPORTS, "gentian_quota_reports_total", "reports to account holders")                   \
   X (QUOTA_DEGRADED, "gentian_quota_degraded_total",                                               \
      "requests decided on without a majority of the account holders")                              \
+  X (TABLES_COPIES_REFUSED, "gentian_tables_copies_refused_total",                                 \
+     "workspaces in copies of the tables from other daemons that could not be used")               \
   X (EDITS_ACCEPTED, "gentian_edits_accepted_total",                                               \
      "edits from the log that were accepted and are in force")
 
--- a/test/unit/test_tables_decoder.c
+++ b/test/unit/test_tables_decoder.c
@@ -16,17 +16,24 @@
 parse (const char *workspace, const char *file, const char *text, size_t length, GError **error)
 {
   (void)file;
-  (void)error;
   ck_assert_ptr_ne (g_thread_self (), log_in_use->thread);
   g_usleep (1000);
-  return text[length - 1] == '!' ? NULL : gs_document_new (workspace, 1);
+  if (text[length - 1] != '!')
+    return gs_document_new (workspace, 1);
+  g_set_error (error, g_quark_from_static_string ("test"), 1, "%s: invalid", workspace);
+  return NULL;
 }
 
 static void
-on_decoded (const GsTablesSnapshot *snapshot, GsDocument **documents, void *data)
+on_decoded (const GsTablesSnapshot *snapshot,
+            GsDocument **documents,
+            const GError *refusal,
+            void *data)
 {
   Log *log = data;
 
+  ck_assert_str_eq (refusal->message, "b: invalid");
+
   ck_assert_ptr_eq (g_thread_self (), log->thread);
   g_string_append_printf (log->decoded, "%" G_GUINT64_FORMAT ":", snapshot->position);
   for (uint32_t i = 0; i < snapshot->n_entries; i++)
