Keep a daemon's position behind tables that it cannot use

Evidence: GS5111 on the daemons that do not read (reason: field Version) followed by GS5102 with position=7 workspaces=0. Change: texts are opaque to the core and sent as written, equal ones stored once. Tables without rows stay in force for their limits and workspaces. Why it works: what is sent is what the adapter accepted, and no cause of a refusal can move the position.

--- a/src/gentian/core/config_log.c
+++ b/src/gentian/core/config_log.c
@@ -3,13 +3,10 @@
 #include <glib.h>
 #include <string.h>
 
-/** YAML text of tables without rows. Not stored per workspace, as most workspaces have no rows. */
-#define CONFIG_LOG_EMPTY_TEXT "{}\n"
-
 /* A single allocation, as a daemon has one for every workspace of the fleet. */
 typedef struct
 {
-  char *text; /* NULL: tables without rows */
+  char *text; /* as written; equal texts are stored once, as most workspaces have no rows */
   uint64_t revision;
   uint64_t submissions[GS_CONFIG_LOG_SUBMISSIONS]; /* newest first */
   char workspace[];
@@ -20,6 +17,7 @@
   GHashTable *entries; /* workspace -> WorkspaceEntry */
   GsTable *table;      /* not owned */
   uint64_t position;
+  uint64_t refused_position; /* of a snapshot with an unusable entry that has not ended; 0: none */
   bool complete;
 };
 
@@ -36,7 +34,7 @@
 {
   WorkspaceEntry *entry = data;
 
-  g_free (entry->text);
+  g_clear_pointer (&entry->text, g_ref_string_release);
   g_free (entry);
 }
 
@@ -72,17 +70,12 @@
   return entry;
 }
 
+/* Only the parser that TEXT was written for can tell which texts mean the same. */
 static void
-set_text (WorkspaceEntry *entry, const GsDocument *document, const char *text)
-{
-  g_free (entry->text);
-  entry->text = document->n_routes + document->n_pools > 0 ? g_strdup (text) : NULL;
-}
-
-static const char *
-tables_text (const WorkspaceEntry *entry)
+set_text (WorkspaceEntry *entry, const char *text)
 {
-  return entry->text != NULL ? entry->text : CONFIG_LOG_EMPTY_TEXT;
+  g_clear_pointer (&entry->text, g_ref_string_release);
+  entry->text = g_ref_string_new_intern (text);
 }
 
 static bool
@@ -122,7 +115,7 @@
            (GS_CONFIG_LOG_SUBMISSIONS - 1) * sizeof entry->submissions[0]);
   entry->submissions[0] = edit->submission;
   entry->revision = revision;
-  set_text (entry, edit->document, edit->text);
+  set_text (entry, edit->text);
   edit->document->revision = revision;
   gs_table_replace (log->table, edit->document);
 }
@@ -180,15 +173,27 @@
   entry = get_or_add_entry (log, snapshot_entry->workspace);
   entry->revision = snapshot_entry->revision;
   memcpy (entry->submissions, snapshot_entry->submissions, sizeof entry->submissions);
-  set_text (entry, document, snapshot_entry->text);
+  set_text (entry, snapshot_entry->text);
   document->revision = snapshot_entry->revision;
   return gs_table_replace (log->table, document);
 }
 
 void
+gs_config_log_refuse_snapshot_entry (GsConfigLog *log, uint64_t position)
+{
+  log->refused_position = position;
+}
+
+bool
 gs_config_log_end_snapshot (GsConfigLog *log, uint64_t position)
 {
+  if (log->refused_position == position)
+    {
+      log->refused_position = 0; /* a copy that is whole may follow */
+      return false;
+    }
   gs_config_log_set_complete (log, position);
+  return true;
 }
 
 void
@@ -204,9 +209,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const WorkspaceEntry *entry = value;
-      GsSnapshotEntry snapshot_entry = { .workspace = entry->workspace,
-                                         .text = tables_text (entry),
-                                         .revision = entry->revision };
+      GsSnapshotEntry snapshot_entry
+          = { .workspace = entry->workspace, .text = entry->text, .revision = entry->revision };
       if (entry->revision <= from)
         continue;
       memcpy (snapshot_entry.submissions, entry->submissions, sizeof snapshot_entry.submissions);
@@ -232,7 +236,7 @@
   const WorkspaceEntry *entry = g_hash_table_lookup (log->entries, workspace);
 
   if (text != NULL)
-    *text = entry != NULL ? tables_text (entry) : NULL;
+    *text = entry != NULL ? entry->text : NULL;
   return entry != NULL ? entry->revision : 0;
 }
 
--- a/src/gentian/core/config_log.h
+++ b/src/gentian/core/config_log.h
@@ -7,8 +7,8 @@
  * readers evaluate edits in log order by the same rules, so they accept the same edits. A revision
  * is the log offset of the accepted edit plus one, so revisions only grow. A submission that is in
  * the log twice is applied once. A snapshot, read from the log or sent by a peer, is applied only
- * where it is newer than the known state. Pure. Tested by test/unit/test_config_log.c and
- * test/property/prop_config_log.cpp.
+ * where it is newer than the known state. Texts are opaque here, stored and sent as written. Pure.
+ * Tested by test/unit/test_config_log.c and test/property/prop_config_log.cpp.
  */
 #ifndef GS_CONFIG_LOG_H
 #define GS_CONFIG_LOG_H
@@ -82,8 +82,17 @@
                                          const GsSnapshotEntry *entry,
                                          GsDocument *document);
 
-/** Completes the application of a snapshot that reaches to POSITION. */
-void gs_config_log_end_snapshot (GsConfigLog *log, uint64_t position);
+/** States that an entry of the snapshot to POSITION cannot be used, so that it will not be
+ * complete. Its other entries may be applied. */
+void gs_config_log_refuse_snapshot_entry (GsConfigLog *log, uint64_t position);
+
+/**
+ * Ends the application of a snapshot that reaches to POSITION.
+ *
+ * RETURN VALUE: false if an entry of it was refused. The log's position is then the same as before,
+ * as it never exceeds what is known.
+ */
+bool gs_config_log_end_snapshot (GsConfigLog *log, uint64_t position);
 
 /** Calls VISIT for each workspace whose revision is above FROM. */
 void gs_config_log_foreach_newer (const GsConfigLog *log,
--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -433,29 +433,46 @@
                     snapshot->refusal != NULL ? snapshot->refusal : "unknown");
 }
 
-static void
-handle_tables_snapshot (GsCore *core, const GsTablesSnapshotEvent *snapshot)
+/* RETURN VALUE: number of workspaces whose tables changed. */
+static uint32_t
+apply_snapshot_entries (GsCore *core, const GsTablesSnapshotEvent *snapshot)
 {
-  bool accepted
-      = gs_config_log_accepts_snapshot (core->config_log, snapshot->from, snapshot->position);
   uint32_t applied = 0;
 
-  if (accepted)
-    log_refused_entries (core, snapshot);
   for (uint32_t i = 0; i < snapshot->n_entries; i++)
-    if (!accepted)
-      gs_document_free (snapshot->documents[i]);
+    if (snapshot->documents[i] == NULL)
+      gs_config_log_refuse_snapshot_entry (core->config_log, snapshot->position);
     else if (gs_config_log_apply_snapshot_entry (core->config_log, &snapshot->entries[i],
                                                  snapshot->documents[i]))
       applied++;
-  if (!accepted || !snapshot->last)
+  return applied;
+}
+
+static void
+handle_tables_snapshot (GsCore *core, const GsTablesSnapshotEvent *snapshot)
+{
+  uint32_t applied;
+
+  if (!gs_config_log_accepts_snapshot (core->config_log, snapshot->from, snapshot->position))
+    {
+      for (uint32_t i = 0; i < snapshot->n_entries; i++)
+        gs_document_free (snapshot->documents[i]);
+      return;
+    }
+  log_refused_entries (core, snapshot);
+  applied = apply_snapshot_entries (core, snapshot);
+  if (!snapshot->last)
     return;
-  gs_config_log_end_snapshot (core->config_log, snapshot->position);
-  log_tables_snapshot (core, snapshot, applied);
-  core->tables_heard_us = 0;
-  gs_members_set_position (core->members, gs_config_log_position (core->config_log));
-  if (snapshot->read_here)
-    gs_members_announce_position (core->members);
+  if (gs_config_log_end_snapshot (core->config_log, snapshot->position))
+    {
+      log_tables_snapshot (core, snapshot, applied);
+      core->tables_heard_us = 0;
+      gs_members_set_position (core->members, gs_config_log_position (core->config_log));
+      if (snapshot->read_here)
+        gs_members_announce_position (core->members);
+    }
+  else
+    core_hear_tables_position (core, snapshot->position); /* it is pulled or read again */
   apply_tables (core);
 }
 
--- a/src/gentian/core/table.c
+++ b/src/gentian/core/table.c
@@ -236,6 +236,16 @@
     }
 }
 
+/* Whether a missing DOCUMENT would have the same effect. */
+static bool
+is_without_effect (const GsDocument *document)
+{
+  static const GsCallerLimits no_limits;
+
+  return document->n_routes + document->n_pools + document->n_workspaces == 0
+         && memcmp (&document->limits, &no_limits, sizeof no_limits) == 0;
+}
+
 bool
 gs_table_replace (GsTable *table, GsDocument *document)
 {
@@ -252,9 +262,9 @@
       unindex_document (table, old);
       g_hash_table_remove (table->documents, old->workspace);
     }
-  if (document->n_routes + document->n_pools == 0)
+  if (is_without_effect (document))
     {
-      gs_document_free (document); /* no rows to look up; the config log stores the revision */
+      gs_document_free (document); /* the config log stores the revision */
       return true;
     }
   gs_document_index_workspaces (document, &conflict);
--- a/src/gentian/core/table.h
+++ b/src/gentian/core/table.h
@@ -182,10 +182,10 @@
 /** RETURN VALUE: the pool, or NULL. */
 const GsPoolRow *gs_table_pool (const GsTable *table, const char *workspace, const char *pool);
 
-/** RETURN VALUE: the document of WORKSPACE, or NULL if it has no rows. */
+/** RETURN VALUE: the document of WORKSPACE, or NULL if it has neither rows nor limits. */
 const GsDocument *gs_table_document (const GsTable *table, const char *workspace);
 
-/** RETURN VALUE: the number of workspaces that have rows. */
+/** RETURN VALUE: the number of workspaces that have a document. */
 uint32_t gs_table_size (const GsTable *table);
 
 /** Calls VISIT for each document, in no particular order. */
--- a/src/gentian/daemon/log_consumer.c
+++ b/src/gentian/daemon/log_consumer.c
@@ -152,13 +152,25 @@
   return bytes;
 }
 
-/* RETURN VALUE: true when a complete snapshot was posted; reading continues from its position. */
+static uint64_t
+tables_position (GsLogConsumer *consumer, bool *complete)
+{
+  const GsCore *core = gs_engine_lock (consumer->engine);
+  uint64_t position = gs_config_log_position (gs_core_config_log (core));
+
+  *complete = gs_config_log_is_complete (gs_core_config_log (core));
+  gs_engine_unlock (consumer->engine);
+  return position;
+}
+
+/* RETURN VALUE: true when a complete snapshot was applied; reading continues from its position. */
 static bool
 process_chunk (GsLogConsumer *consumer, const GsSnapshotChunk *chunk)
 {
   SnapshotAssembly *assembly = &consumer->assembly;
   g_autoptr (GByteArray) bytes = NULL;
   uint64_t position;
+  bool complete;
 
   if (chunk->count > CONSUMER_SNAPSHOT_CHUNKS_MAX)
     return false;
@@ -170,8 +182,9 @@
     return false;
   position = assembly->position;
   reset_assembly (assembly, NULL); /* the chunks are not needed beside the complete snapshot */
-  if (!gs_engine_apply_tables_snapshot (consumer->engine, (const char *)bytes->data, bytes->len))
-    return false;
+  if (!gs_engine_apply_tables_snapshot (consumer->engine, (const char *)bytes->data, bytes->len)
+      || tables_position (consumer, &complete) < position)
+    return false; /* an entry of it is unusable here */
   consumer->next_offset = position;
   consumer->gap = false;
   return true;
@@ -229,17 +242,6 @@
   return continues;
 }
 
-static uint64_t
-tables_position (GsLogConsumer *consumer, bool *complete)
-{
-  const GsCore *core = gs_engine_lock (consumer->engine);
-  uint64_t position = gs_config_log_position (gs_core_config_log (core));
-
-  *complete = gs_config_log_is_complete (gs_core_config_log (core));
-  gs_engine_unlock (consumer->engine);
-  return position;
-}
-
 /* Chooses where the log is read from: from the tables' position on, or from the first record that
  * it still holds if later than that position. */
 static void
--- a/test/unit/test_config_log.c
+++ b/test/unit/test_config_log.c
@@ -136,10 +136,36 @@
 }
 END_TEST
 
+static void
+copy_text (const GsSnapshotEntry *entry, void *data)
+{
+  g_strlcpy (data, entry->text, 64);
+}
+
+/* Guards against tables without rows that other daemons get as a text their adapter refuses. */
+START_TEST (text_of_tables_without_rows_is_sent_as_written)
+{
+  static const char text[] = "{\"Version\":\"r7\"}";
+  LogFixture fixture = log_fixture_new ();
+  GsSnapshotEntry entry = { .workspace = "w", .text = text, .revision = 7 };
+  char sent[64] = "";
+  const char *shown;
+
+  gs_config_log_apply_snapshot_entry (fixture.log, &entry, gs_document_new ("w", 0));
+  gs_config_log_end_snapshot (fixture.log, 7);
+  gs_config_log_foreach_newer (fixture.log, 0, copy_text, sent);
+  ck_assert_str_eq (sent, text);
+  gs_config_log_revision (fixture.log, "w", &shown);
+  ck_assert_str_eq (shown, text);
+  log_fixture_free (&fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("config_log",
               &second_edit_of_the_same_revision_conflicts,
               &submission_is_applied_once,
               &route_of_another_workspace_is_refused,
               &replayed_and_out_of_order_edits_are_ignored,
               &snapshot_carries_the_complete_state,
-              &stale_snapshot_reverts_nothing)
+              &stale_snapshot_reverts_nothing,
+              &text_of_tables_without_rows_is_sent_as_written)
--- a/test/unit/test_core.c
+++ b/test/unit/test_core.c
@@ -914,6 +914,62 @@
 }
 END_TEST
 
+/* Posts the parts of a snapshot to POSITION; the last one has DOCUMENT as the tables of workspace
+ * "x", which are unusable if it is NULL. */
+static void
+post_snapshot (Fixture *fixture, uint64_t position, GsDocument *document)
+{
+  GsSnapshotEntry entries[] = { { .workspace = "v", .text = "-", .revision = position - 1 },
+                                { .workspace = "x", .text = "-", .revision = position } };
+  GsDocument *documents[] = { gs_document_new ("v", 0), document };
+
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      GsEvent event = { .kind = GS_EVENT_TABLES_SNAPSHOT,
+                        .tables_snapshot = { .position = position,
+                                             .entries = &entries[i],
+                                             .documents = &documents[i],
+                                             .n_entries = 1,
+                                             .last = i == 1 } };
+      fixture_reduce (fixture, &event);
+    }
+}
+
+/* Guards against a daemon that takes itself to have tables that it could not use: it would neither
+ * ask for them again nor read them from the store. */
+START_TEST (position_stays_before_tables_that_cannot_be_used)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  const GsConfigLog *log = gs_core_config_log (fixture.core);
+  uint64_t before = gs_config_log_position (log);
+
+  post_snapshot (&fixture, before + 5, NULL);
+  ck_assert_uint_eq (gs_config_log_position (log), before);
+  ck_assert_uint_eq (gs_core_tables_heard_position (fixture.core), before + 5);
+  ck_assert_int_ne (gs_core_reader_state (fixture.core).behind_us, 0);
+  ck_assert_uint_eq (gs_config_log_revision (log, "v", NULL), before + 4);
+  post_snapshot (&fixture, before + 5, gs_document_new ("x", 0));
+  ck_assert_uint_eq (gs_config_log_position (log), before + 5);
+  ck_assert_int_eq (gs_core_reader_state (fixture.core).behind_us, 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
+/* Guards against limits of callers' requests that lapse with the last route. */
+START_TEST (limits_of_tables_without_rows_are_in_force)
+{
+  Fixture fixture = fixture_new (1, GS_REPEAT_SAFE);
+  GsDocument *document = gs_document_new ("w", 0);
+
+  document->limits.max_header_bytes = 77;
+  fixture_edit (&fixture, 1, 1, document);
+  ck_assert_uint_eq (gs_core_caller_limits (fixture.core, "w").max_header_bytes, 77);
+  fixture_edit (&fixture, 2, 2, gs_document_new ("w", 0));
+  ck_assert_uint_eq (gs_core_caller_limits (fixture.core, "w").max_header_bytes, 0);
+  fixture_free (&fixture);
+}
+END_TEST
+
 FIXTURE_MAIN ("core",
               &answer_is_passed_on,
               &an_attempt_ends_once,
@@ -953,4 +1009,6 @@
               &answer_tells_whether_earlier_attempts_may_have_run,
               &only_active_home_sends_no_evidence,
               &effects_carry_no_bytes_of_earlier_ones,
+              &position_stays_before_tables_that_cannot_be_used,
+              &limits_of_tables_without_rows_are_in_force,
               &same_seed_gives_the_same_effects)
