Require keys where the list of workspaces is empty

Cause: the decoders made no difference between an empty list of workspaces and a missing one, and gs_access_check grants every request of tables without workspaces. Change: a document states whether it has a workspaces table (gs_document_requires_keys), in both formats of tables; access checks, renewal of waiting and forwarded requests, the diff of two tables and what the table keeps of a document without rows go by that. null counts as a list without rows: a refused request can be sent again, one that ran with a removed key cannot be undone. Why it works: a list without rows has no key that could be found, and only a missing list skips the search.

--- a/src/gentian/access/access.c
+++ b/src/gentian/access/access.c
@@ -17,7 +17,7 @@
 {
   const GsWorkspaceRow *row;
 
-  if (document == NULL || document->n_workspaces == 0)
+  if (document == NULL || !gs_document_requires_keys (document))
     return (GsAccess){ .verdict = GS_ACCESS_GRANTED };
   if (credential->vouched)
     return check_vouched (document, credential);
--- a/src/gentian/access/access.h
+++ b/src/gentian/access/access.h
@@ -8,9 +8,11 @@
  *     refuse (gs_access_reason (access.verdict));
  *
  * DESCRIPTION
- *   A route of tables that list workspaces needs a known key unless it is anonymous. The check is
- * made when a request arrives, and again with the tables then in force before anything is begun for
- * it. Pure: no I/O, no clock. Tested by test/unit/test_access.c and test/property/prop_access.cpp.
+ *   A route of tables that list workspaces needs a known key unless it is anonymous. A list without
+ * rows has no keys, so only anonymous routes are open then; no list, and no key is needed. The
+ * check is made when a request arrives, and again with the tables then in force before anything is
+ * begun for it. Pure: no I/O, no clock. Tested by test/unit/test_access.c and
+ * test/property/prop_access.cpp.
  */
 #ifndef GS_ACCESS_H
 #define GS_ACCESS_H
--- a/src/gentian/config/tables.c
+++ b/src/gentian/config/tables.c
@@ -443,6 +443,8 @@
     g_ptr_array_add (rows, describe_route (&document->routes[i]));
   for (uint32_t i = 0; document != NULL && i < document->n_pools; i++)
     g_ptr_array_add (rows, describe_pool (&document->pools[i]));
+  if (document != NULL && gs_document_requires_keys (document))
+    g_ptr_array_add (rows, g_strdup ("workspaces: requests need a key"));
   for (uint32_t i = 0; document != NULL && i < document->n_workspaces; i++)
     g_ptr_array_add (rows, gs_workspaces_describe (&document->workspaces[i]));
   return rows;
--- a/src/gentian/config/workspaces.c
+++ b/src/gentian/config/workspaces.c
@@ -82,6 +82,7 @@
 
   if (length < 0)
     return FALSE;
+  document->workspaces_listed = list != NULL;
   document->workspaces = g_new0 (GsWorkspaceRow, (gsize)length);
   for (int i = 0; i < length; i++)
     {
--- a/src/gentian/core/request_access.c
+++ b/src/gentian/core/request_access.c
@@ -100,7 +100,7 @@
   access = check (core, document, &request->credential);
   if (access.verdict == GS_ACCESS_GRANTED && request->credential.vouched
       && !request->credential.anonymous && was_listed && access.workspace == NULL
-      && document != NULL && document->n_workspaces > 0)
+      && document != NULL && gs_document_requires_keys (document))
     access.verdict = GS_ACCESS_UNKNOWN_KEY; /* the key has been removed */
   if (access.verdict == GS_ACCESS_GRANTED)
     request_set_workspace (request, access.workspace);
--- a/src/gentian/core/table.c
+++ b/src/gentian/core/table.c
@@ -242,7 +242,7 @@
 {
   static const GsCallerLimits no_limits;
 
-  return document->n_routes + document->n_pools + document->n_workspaces == 0
+  return document->n_routes + document->n_pools == 0 && !gs_document_requires_keys (document)
          && memcmp (&document->limits, &no_limits, sizeof no_limits) == 0;
 }
 
--- a/src/gentian/core/table.h
+++ b/src/gentian/core/table.h
@@ -125,8 +125,10 @@
   GsPoolRow *pools;
   uint32_t n_routes;
   uint32_t n_pools;
-  GsWorkspaceRow *workspaces; /**< empty: requests need no keys */
+  GsWorkspaceRow *workspaces;
   uint32_t n_workspaces;
+  /** the workspaces table is present, though it may have no rows; see gs_document_requires_keys */
+  bool workspaces_listed;
   GsWorkspaceIndex *workspace_index; /**< of `workspaces`; owned */
   GsCallerLimits limits;             /**< 0: the limit of the daemon's settings */
 };
@@ -139,6 +141,14 @@
 /** Frees DOCUMENT and its rows. NULL is allowed. */
 void gs_document_free (GsDocument *document);
 
+/** RETURN VALUE: whether requests need keys: DOCUMENT has a workspaces table. One without rows has
+ * no key that a request could use, and is not the same as a missing one. */
+static inline bool
+gs_document_requires_keys (const GsDocument *document)
+{
+  return document->workspaces_listed || document->n_workspaces > 0;
+}
+
 /** RETURN VALUE: the pool named NAME in DOCUMENT, or NULL. */
 const GsPoolRow *gs_document_pool (const GsDocument *document, const char *name);
 
@@ -182,7 +192,8 @@
 /** RETURN VALUE: the pool, or NULL. */
 const GsPoolRow *gs_table_pool (const GsTable *table, const char *workspace, const char *pool);
 
-/** RETURN VALUE: the document of WORKSPACE, or NULL if it has neither rows nor limits. */
+/** RETURN VALUE: the document of WORKSPACE, or NULL if it has neither rows nor limits nor a
+ * workspaces table. */
 const GsDocument *gs_table_document (const GsTable *table, const char *workspace);
 
 /** RETURN VALUE: the number of workspaces that have a document. */
--- a/test/fuzz/fuzz_platform.c
+++ b/test/fuzz/fuzz_platform.c
@@ -35,7 +35,8 @@
                          : NULL;
 
   if (copy == NULL || copy->n_workspaces != document->n_workspaces
-      || copy->n_routes != document->n_routes)
+      || copy->n_routes != document->n_routes
+      || gs_document_requires_keys (copy) != gs_document_requires_keys (document))
     g_error ("the redacted text of accepted tables has other rows");
   if (strcmp (redacted, again) != 0)
     g_error ("the redacted text of tables holds keys");
--- a/test/property/prop_access.cpp
+++ b/test/property/prop_access.cpp
@@ -46,7 +46,8 @@
   int64_t now_us = 1000 * GS_US_PER_S;
   uint64_t revision = 0;
   uint64_t next_request = 0;
-  bool listed = false; // the tables have workspaces
+  bool listed = false; // the tables have a workspaces table
+  bool rows = true;    // and it has rows
   Owners owners = Owners (KEYS, -1);
   std::map<uint64_t, Request> requests;
 
@@ -81,7 +82,8 @@
       document->routes[i].max_attempts = 3;
       document->routes[i].anonymous = i == 1;
     }
-  document->n_workspaces = world.listed ? WORKSPACES : 0;
+  document->workspaces_listed = world.listed;
+  document->n_workspaces = world.listed && world.rows ? WORKSPACES : 0;
   document->workspaces = g_new0 (GsWorkspaceRow, WORKSPACES);
   for (uint32_t i = 0; i < document->n_workspaces; i++)
     {
@@ -115,7 +117,7 @@
 int
 owner (const World &world, const Request &request)
 {
-  return world.listed && request.key >= 0 ? world.owners[(size_t)request.key] : -1;
+  return world.listed && world.rows && request.key >= 0 ? world.owners[(size_t)request.key] : -1;
 }
 
 void
@@ -273,6 +275,7 @@
       break;
     case 5:
       world.listed = choice % 8 != 0;
+      world.rows = choice % 8 != 1;
       world.owners[(size_t)choice % KEYS] = choice / KEYS % (WORKSPACES + 1) - 1;
       put_tables (world);
       break;
--- a/test/property/prop_tables_copies.cpp
+++ b/test/property/prop_tables_copies.cpp
@@ -184,12 +184,16 @@
   char *difference
       = gs_tables_diff (gs_table_document (gs_core_table (daemon.core), WORKSPACE), expected);
   GsCallerLimits limits = gs_core_caller_limits (daemon.core, WORKSPACE);
+  const GsDocument *document = gs_table_document (gs_core_table (daemon.core), WORKSPACE);
+  bool same_access = gs_document_requires_keys (expected)
+                     == (document != nullptr && gs_document_requires_keys (document));
   bool same_limits = memcmp (&limits, &expected->limits, sizeof limits) == 0;
   std::string rows = difference;
   g_free (difference);
   gs_document_free (expected);
   RC_ASSERT (rows == "");
   RC_ASSERT (same_limits);
+  RC_ASSERT (same_access);
 }
 }
 
--- a/test/unit/test_access.c
+++ b/test/unit/test_access.c
@@ -141,7 +141,10 @@
   bool anonymous;
 } Access;
 
-/* Puts tables with ROWS (see add_workspaces; empty: none) in force. */
+/** A workspaces table without rows, as opposed to none. */
+#define NO_ROWS "-"
+
+/* Puts tables with ROWS (see add_workspaces; empty: no workspaces table) in force. */
 static void
 put_tables (Access *access, const char *rows)
 {
@@ -157,7 +160,8 @@
   document->pools[0].registered = true;
   document->routes[0].max_attempts = 3;
   document->routes[0].anonymous = access->anonymous;
-  if (*rows != '\0')
+  document->workspaces_listed = *rows != '\0';
+  if (*rows != '\0' && strcmp (rows, NO_ROWS) != 0)
     add_workspaces (document, rows);
   fixture_reduce (&access->base, &event);
 }
@@ -276,6 +280,80 @@
 }
 END_TEST
 
+/* Guards against a gateway that the removal of the last workspace opens to everybody. */
+START_TEST (workspaces_without_rows_let_no_key_in)
+{
+  Access access = access_new (GS_REPEAT_SAFE, "a:0:k", 4);
+
+  ck_assert_ptr_nonnull (ask (&access, 1, "k"));
+  put_tables (&access, NO_ROWS);
+  ck_assert_ptr_null (ask (&access, 2, "k"));
+  assert_refused (&access, 2, 401, GS_VERDICT_NOT_RUN, "unknown-key");
+  ck_assert_ptr_null (ask (&access, 3, "never"));
+  assert_refused (&access, 3, 401, GS_VERDICT_NOT_RUN, "unknown-key");
+  ck_assert_ptr_null (ask (&access, 4, NULL));
+  assert_refused (&access, 4, 401, GS_VERDICT_NOT_RUN, "no-key");
+  access.anonymous = true;
+  put_tables (&access, NO_ROWS);
+  ck_assert_str_eq (ask (&access, 5, NULL)->workspace, "");
+  ck_assert_str_eq (ask (&access, 6, "k")->workspace, "");
+  access.anonymous = false;
+  put_tables (&access, "");
+  ck_assert_ptr_nonnull (ask (&access, 7, NULL));
+  fixture_free (&access.base);
+}
+END_TEST
+
+/* Guards against requests that wait, or are sent once more, with the last key that was removed. */
+START_TEST (removal_of_the_last_workspace_ends_its_requests)
+{
+  Access access = access_new (GS_REPEAT_SAFE, "a:0:k", 1);
+  uint64_t attempt = ask (&access, 1, "k")->attempt;
+
+  ck_assert_ptr_null (ask (&access, 2, "k"));
+  put_tables (&access, NO_ROWS);
+  assert_refused (&access, 2, 401, GS_VERDICT_NOT_RUN, "key-revoked");
+  ck_assert_uint_eq (fixture_end_attempt (&access.base, attempt, GS_OUTCOME_REFUSED), 0);
+  assert_refused (&access, 1, 401, GS_VERDICT_NOT_RUN, "key-revoked");
+  fixture_free (&access.base);
+}
+END_TEST
+
+/* Guards against requests that wait with a removed key while the tables have no rows at all. */
+START_TEST (removal_of_everything_ends_requests_of_its_workspaces)
+{
+  Access access = access_new (GS_REPEAT_SAFE, "a:0:k", 1);
+  GsSnapshotEntry entry = { .workspace = "w", .text = "-", .revision = ++access.revision };
+  GsDocument *document = gs_document_new ("w", access.revision);
+  GsEvent event = { .kind = GS_EVENT_TABLES_SNAPSHOT,
+                    .tables_snapshot = { .position = access.revision,
+                                         .entries = &entry,
+                                         .documents = &document,
+                                         .n_entries = 1,
+                                         .last = true } };
+
+  ck_assert_ptr_nonnull (ask (&access, 1, "k"));
+  ck_assert_ptr_null (ask (&access, 2, "k"));
+  document->workspaces_listed = true;
+  fixture_reduce (&access.base, &event);
+  assert_refused (&access, 2, 401, GS_VERDICT_NOT_RUN, "key-revoked");
+  fixture_free (&access.base);
+}
+END_TEST
+
+/* A daemon whose tables have no workspaces table forwards without a workspace. */
+START_TEST (forwarded_request_without_workspace_is_undecided_without_rows)
+{
+  Access access = access_new (GS_REPEAT_SAFE, NO_ROWS, 2);
+  GsEvent event = { .kind = GS_EVENT_REQUEST,
+                    .request = { .request = 1, .host = "h", .path = "/x", .forwarded = true } };
+
+  fixture_reduce (&access.base, &event);
+  assert_refused (&access, 1, 503, GS_VERDICT_NOT_RUN, "tables-stale");
+  fixture_free (&access.base);
+}
+END_TEST
+
 /* A newer version may have the key: callers try another daemon after 503, but never after 401. */
 START_TEST (unknown_key_is_not_decided_by_stale_tables)
 {
@@ -437,6 +515,10 @@
               &lookup_takes_constant_time,
               &key_selects_its_workspace,
               &tables_without_workspaces_need_no_key,
+              &workspaces_without_rows_let_no_key_in,
+              &removal_of_the_last_workspace_ends_its_requests,
+              &removal_of_everything_ends_requests_of_its_workspaces,
+              &forwarded_request_without_workspace_is_undecided_without_rows,
               &unknown_key_is_not_decided_by_stale_tables,
               &slot_request_carries_the_workspace,
               &removed_key_ends_waiting_requests_only,
--- a/test/unit/test_config.c
+++ b/test/unit/test_config.c
@@ -152,6 +152,23 @@
 }
 END_TEST
 
+/* Guards against an empty list of workspaces that opens the gateway, or that a diff does not show.
+ */
+START_TEST (empty_list_of_workspaces_requires_keys)
+{
+  g_autofree char *text = g_strconcat (valid_tables, "\nworkspaces: []\n", NULL);
+  GsDocument *open = gs_tables_parse ("w", "t", valid_tables, strlen (valid_tables), NULL);
+  GsDocument *closed = gs_tables_parse ("w", "t", text, strlen (text), NULL);
+  g_autofree char *diff = gs_tables_diff (open, closed);
+
+  ck_assert (!gs_document_requires_keys (open));
+  ck_assert (gs_document_requires_keys (closed));
+  ck_assert_str_eq (diff, "+ workspaces: requests need a key\n");
+  gs_document_free (open);
+  gs_document_free (closed);
+}
+END_TEST
+
 START_TEST (diff_lists_added_rows)
 {
   GsDocument *document = gs_tables_parse ("w", "t", valid_tables, strlen (valid_tables), NULL);
@@ -204,5 +221,6 @@
               &invalid_rows_are_refused,
               &splits_and_priorities_parse,
               &workspaces_parse_or_are_refused_as_a_whole,
+              &empty_list_of_workspaces_requires_keys,
               &diff_lists_added_rows,
               &invalid_settings_are_refused_without_showing_keys)
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -119,6 +119,29 @@
 }
 END_TEST
 
+/* Guards against an empty list of workspaces that is taken for none, which opens the gateway. */
+START_TEST (empty_list_of_workspaces_is_not_a_missing_one)
+{
+  static const struct
+  {
+    const char *field;
+    bool requires_keys;
+  } rows[] = { { "", false }, { "\"Tenants\":[],", true }, { "\"Tenants\":null,", true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *field = g_strconcat (rows[i].field, "\"Limits\"", NULL);
+      g_autofree char *text = replace_first (tables_text, "\"Limits\"", field);
+      g_autofree char *sent = platform_redact_tables (text, strlen (text));
+      GsDocument *document = parse_tables (sent, NULL);
+      ck_assert_ptr_nonnull (document);
+      ck_assert_int_eq (gs_document_requires_keys (document), rows[i].requires_keys);
+      ck_assert_uint_eq (document->n_workspaces, 0);
+      gs_document_free (document);
+    }
+}
+END_TEST
+
 /* Guards against tables in force with a key that nobody, or the wrong workspace, can use, and
  * against messages that show a key. */
 START_TEST (ambiguous_or_malformed_workspaces_are_refused)
@@ -433,6 +456,7 @@
               &valid_tables_are_decoded,
               &tables_with_one_invalid_value_are_refused,
               &workspaces_are_decoded,
+              &empty_list_of_workspaces_is_not_a_missing_one,
               &ambiguous_or_malformed_workspaces_are_refused,
               &kept_text_has_digests_in_place_of_keys,
               &registrations_are_decoded,
