--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -1,11 +1,13 @@
 /* Unit tests of platform/decode: the platform's JSON documents, decoded to the daemon's types. */
 #include "fixture.h"
 
+#include <jansson.h>
 #include <pthread.h>
 
 #include "../../platform/decode.h"
 #include "../../platform/redact.h"
 #include "../../src/gentian/access/key_digest.h"
+#include "../../src/gentian/config/tables.h"
 
 static const char tables_text[]
     = "{\"Version\":\"r7\",\"Routes\":["
@@ -199,6 +201,117 @@
 }
 END_TEST
 
+/** Tables with all fields that the decoder knows. */
+static const char full_tables[]
+    = "{\"Version\":\"r7\",\"Routes\":[{\"Name\":\"r\",\"Host\":\"h\",\"PathPrefix\":\"/"
+      "\",\"Kind\":\"safe\","
+      "\"Timeout\":\"3000ms\",\"TargetLatency\":\"800ms\",\"Priority\":2,\"MaxAttempts\":2,"
+      "\"AllowAnonymous\":true,\"Service\":\"s\"},{\"Name\":\"q\",\"Host\":\"h\",\"PathPrefix\":\"/"
+      "q/\","
+      "\"Kind\":\"safe\",\"Timeout\":\"1s\",\"TargetLatency\":\"1s\",\"Priority\":1,"
+      "\"MaxAttempts\":1,"
+      "\"Service\":\"s\",\"TrafficSplit\":[{\"Service\":\"s\",\"Weight\":3},{\"Service\":\"t\","
+      "\"Weight\":1}]}],"
+      "\"Services\":[{\"Name\":\"s\",\"MaxConns\":9},{\"Name\":\"t\",\"MaxConns\":9}],"
+      "\"Tenants\":[{\"Name\":\"a\",\"ApiKeys\":[\"k\"],\"RatePerS\":5,\"Burst\":6,\"Priority\":1}]"
+      ","
+      "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1000,\"HeaderTimeout\":\"3s\","
+      "\"IdleTimeout\":\"15s\"}}";
+
+/* RETURN VALUE: what is empty, or 0, among values of the type of VALUE. */
+static json_t *
+empty_value (const json_t *value)
+{
+  switch (json_typeof (value))
+    {
+    case JSON_ARRAY:
+      return json_array ();
+    case JSON_OBJECT:
+      return json_object ();
+    case JSON_STRING:
+      return json_string ("");
+    case JSON_INTEGER:
+      return json_integer (0);
+    default:
+      return json_false ();
+    }
+}
+
+/* Decodes full_tables with the field at PATH ("Routes.0.Kind") missing, null, and empty or 0. */
+static void
+decode_without (const char *path, GsDocument *documents[3])
+{
+  g_auto (GStrv) names = g_strsplit (path, ".", -1);
+  guint last = g_strv_length (names) - 1;
+
+  for (int i = 0; i < 3; i++)
+    {
+      json_t *root = json_loads (full_tables, 0, NULL);
+      json_t *object = root;
+      const json_t *value;
+      char *text;
+      for (guint k = 0; k < last; k++)
+        object = json_is_array (object)
+                     ? json_array_get (object, (size_t)g_ascii_strtoull (names[k], NULL, 10))
+                     : json_object_get (object, names[k]);
+      value = json_object_get (object, names[last]);
+      ck_assert_msg (value != NULL, "full_tables have no %s", path);
+      if (i == 0)
+        json_object_del (object, names[last]);
+      else
+        json_object_set_new (object, names[last], i == 1 ? json_null () : empty_value (value));
+      text = json_dumps (root, JSON_COMPACT);
+      documents[i] = parse_tables (text, NULL);
+      free (text);
+      json_decref (root);
+    }
+}
+
+static bool
+has_same_effect (const GsDocument *a, const GsDocument *b)
+{
+  g_autofree char *diff = gs_tables_diff (a, b);
+
+  return *diff == '\0' && memcmp (&a->limits, &b->limits, sizeof a->limits) == 0;
+}
+
+/* Guards against fields whose missing, null, empty and zero values are taken for each other: each
+ * row of the operators' table states what they do. */
+START_TEST (empty_values_do_what_the_operators_page_says)
+{
+  g_autofree char *page = NULL;
+  g_auto (GStrv) lines = NULL;
+  int rows = 0;
+
+  ck_assert (g_file_get_contents ("docs/operators/EMPTY-VALUES.md", &page, NULL, NULL));
+  lines = g_strsplit (page, "\n", -1);
+  for (int i = 0; lines[i] != NULL; i++)
+    {
+      g_auto (GStrv) cells = g_strsplit (lines[i], " | ", -1);
+      GsDocument *documents[3];
+      g_autofree char *path = NULL;
+      if (!g_str_has_prefix (lines[i], "| `") || g_strv_length (cells) != 4)
+        continue;
+      path = g_strndup (cells[0] + 3, strlen (cells[0]) - 4);
+      decode_without (path, documents);
+      rows++;
+      for (int k = 0; k < 3; k++)
+        {
+          const char *cell = cells[k + 1];
+          bool as_missing = documents[0] != NULL && documents[k] != NULL
+                            && has_same_effect (documents[0], documents[k]);
+          ck_assert_msg (g_str_has_prefix (cell, "refused") == (documents[k] == NULL), "%s: %s",
+                         path, cell);
+          ck_assert_msg (k == 0 || g_str_has_prefix (cell, "as missing") == as_missing, "%s: %s",
+                         path, cell);
+        }
+      for (int k = 0; k < 3; k++)
+        gs_document_free (documents[k]);
+    }
+  ck_assert_int_eq (rows, 27);
+}
+END_TEST
+
 START_TEST (registrations_are_decoded)
 {
   GsRegistration row;
@@ -456,6 +569,7 @@
               &valid_tables_are_decoded,
               &tables_with_one_invalid_value_are_refused,
               &workspaces_are_decoded,
+              &empty_values_do_what_the_operators_page_says,
               &empty_list_of_workspaces_is_not_a_missing_one,
               &ambiguous_or_malformed_workspaces_are_refused,
               &kept_text_has_digests_in_place_of_keys,
