Look for seeds and lost members as long as a daemon runs

Cause, first part: seeds were asked for 2.5 s after the start and never again, and members believed dead were never probed again. So any division that outlasts the start or the suspicion stays: lost seeds, and, not reported before, a cut of 60 s after which each half takes the other one for dead. Seeds that are members are not asked. A complete list's claim that a member is dead is believed only when another list repeats it 1.5 s later, so that the end of a cut makes nobody look dead. Seeds can be replaced while the daemon runs. Why it works: one message between two parts is enough, and each part goes on sending some as long as it knows an address in the other one.

--- a/Makefile
+++ b/Makefile
@@ -79,7 +79,7 @@
 build/fuzz/%: test/fuzz/%.c $(LIB_SOURCES)
 	@mkdir -p $(@D)
 	clang $(CPPFLAGS) -std=gnu11 -O1 -g -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined -o $@ $< \
-	  $(filter src/gentian/core/% src/gentian/access/% src/gentian/quota/% src/gentian/fairness/% src/gentian/cost/% src/gentian/slices/% src/gentian/config/% src/gentian/store/msgpack_io% src/gentian/store/record% src/gentian/store/store% src/gentian/log/counter% src/gentian/log/log% src/gentian/peer/wire% src/gentian/http/answer_parser% src/gentian/http/request_reader% src/gentian/http/caller_connection% src/gentian/http/caller_server% src/gentian/http/response% platform/decode% platform/json% platform/pages% platform/redact%,$(LIB_SOURCES)) $(LDLIBS)
+	  $(filter src/gentian/core/% src/gentian/access/% src/gentian/quota/% src/gentian/fairness/% src/gentian/cost/% src/gentian/slices/% src/gentian/rejoin/% src/gentian/config/% src/gentian/store/msgpack_io% src/gentian/store/record% src/gentian/store/store% src/gentian/log/counter% src/gentian/log/log% src/gentian/peer/wire% src/gentian/http/answer_parser% src/gentian/http/request_reader% src/gentian/http/caller_connection% src/gentian/http/caller_server% src/gentian/http/response% platform/decode% platform/json% platform/pages% platform/redact%,$(LIB_SOURCES)) $(LDLIBS)
 
 demo: setup
 	@$(MAKE) --no-print-directory -j8 all >/dev/null
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -4,6 +4,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "../rejoin/rejoin.h"
+
 enum
 {
   MEMBER_UPDATE_TRANSMISSIONS = 10, /* messages that carry each update */
@@ -16,13 +18,9 @@
 #define MEMBER_ACK_TIMEOUT_US (300 * GS_US_PER_MS)
 #define MEMBER_PULL_INTERVAL_US (5 * GS_US_PER_S)
 #define MEMBER_UNREACHABLE_US (5 * GS_US_PER_S)
-/** Delays between the pulls of a starting daemon from its seeds: when a complete fleet starts at
- * once, the seeds know few members at first. */
-#define MEMBER_REJOIN_DELAYS_US                                                                    \
-  {                                                                                                \
-    100 * GS_US_PER_MS, 100 * GS_US_PER_MS, 150 * GS_US_PER_MS, 150 * GS_US_PER_MS,                \
-        250 * GS_US_PER_MS, 250 * GS_US_PER_MS, 500 * GS_US_PER_MS, GS_US_PER_S                    \
-  }
+/** Age of a complete list's claim that a member is dead from which another such claim is believed,
+ * while the member seems alive here. A member that lives has refuted the claim by then. */
+#define MEMBER_CLAIM_US (1500 * GS_US_PER_MS)
 
 typedef struct
 {
@@ -30,6 +28,7 @@
   uint64_t hash;
   int64_t state_since_us; /* start of the current state */
   int64_t unreachable_until_us;
+  int64_t claimed_dead_us; /* first claim by a complete list since its last change; 0: none */
   uint32_t transmissions_left;
 } Member;
 
@@ -53,7 +52,6 @@
 enum
 {
   MEMBER_INDIRECT_PINGS_MAX = 64,
-  MEMBER_SEEDS_MAX = 16,
 };
 
 struct GsMembers
@@ -76,10 +74,9 @@
   int64_t now_us;
   int64_t next_pull_us;
   uint32_t digest_mismatches;
-  GsPeerAddress seeds[MEMBER_SEEDS_MAX];
-  uint32_t n_seeds;
-  uint32_t join_retries;
-  int64_t next_join_us; /* 0: not scheduled yet */
+  GsRejoin *rejoin;
+  uint32_t next_lost; /* index of the member from which on the next dead one is asked */
+  bool has_met;       /* another daemon was heard from */
 };
 
 static Member *
@@ -106,10 +103,19 @@
                       | (uint64_t)info->full << 1 | info->ready));
 }
 
+static bool
+is_present (const Member *member)
+{
+  return member->info.state != GS_MEMBER_DEAD;
+}
+
 static void
 store_info (GsMembers *members, Member *member, const GsMemberInfo *info)
 {
   members->digest ^= info_digest (&member->info);
+  member->claimed_dead_us = 0;
+  if (info->state != GS_MEMBER_DEAD && !is_present (member) && member->info.id[0] != '\0')
+    gs_rejoin_note_return (members->rejoin, members->now_us);
   if (member->info.state != info->state || member->info.ready != info->ready
       || member->info.incarnation != info->incarnation)
     {
@@ -146,6 +152,7 @@
   members->by_hash = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   members->options = *options;
   members->random.state = options->seed;
+  members->rejoin = gs_rejoin_new (gs_mix64 (options->seed + 1));
   add_member (members, &options->self);
   return members;
 }
@@ -157,6 +164,7 @@
     return;
   g_array_unref (members->members);
   g_hash_table_destroy (members->by_hash);
+  gs_rejoin_free (members->rejoin);
   g_free (members);
 }
 
@@ -184,8 +192,22 @@
   store_info (members, self, &info);
 }
 
+/* Whether a complete list's claim that MEMBER is dead is not to be believed yet. Its sender may
+ * have been cut off from the member, which then refutes the claim when it hears of it. */
+static bool
+is_doubtful (GsMembers *members, Member *member, const GsMemberInfo *info)
+{
+  if (info->state != GS_MEMBER_DEAD || !is_present (member)
+      || info->incarnation != member->info.incarnation)
+    return false;
+  if (member->claimed_dead_us == 0)
+    member->claimed_dead_us = members->now_us;
+  return members->now_us - member->claimed_dead_us < MEMBER_CLAIM_US;
+}
+
+/* LISTED: INFO is of a complete list. */
 static void
-apply_update (GsMembers *members, const GsMemberInfo *info)
+apply_update (GsMembers *members, const GsMemberInfo *info, bool listed)
 {
   uint64_t hash = gs_hash_name (info->id);
   Member *member = find_by_hash (members, hash);
@@ -198,6 +220,8 @@
     }
   if (!supersedes (info, &member->info))
     return;
+  if (member != member_at (members, 0) && listed && is_doubtful (members, member, info))
+    return;
   if (member != member_at (members, 0))
     store_info (members, member, info);
   else if (info->incarnation > member->info.incarnation || info->state >= GS_MEMBER_SUSPECT)
@@ -280,12 +304,6 @@
   return (GsPeerAddress){ .ipv4 = info->ipv4, .peer_port = info->peer_port };
 }
 
-static bool
-is_present (const Member *member)
-{
-  return member->info.state != GS_MEMBER_DEAD;
-}
-
 static uint64_t
 ring_key (uint32_t ring, uint64_t hash)
 {
@@ -447,27 +465,71 @@
       = members->newest_position > members->position ? members->newest_position : 0;
 }
 
-/* Pulls the members from the seeds again during the start. */
+static bool
+is_own_address (const GsMembers *members, const GsPeerAddress *address)
+{
+  const GsMemberInfo *self = &member_at (members, 0)->info;
+
+  return address->ipv4 == self->ipv4 && address->peer_port == self->peer_port;
+}
+
+static bool
+is_alone (const GsMembers *members)
+{
+  for (uint32_t i = 1; i < members->members->len; i++)
+    if (is_present (member_at (members, i)))
+      return false;
+  return true;
+}
+
+/* Whether the daemon at ADDRESS is a member that other members probe. */
+static bool
+is_present_at (const GsMembers *members, const GsPeerAddress *address)
+{
+  const GsMemberInfo *info = gs_members_find_address (members, address);
+
+  return info != NULL && info->state != GS_MEMBER_DEAD;
+}
+
 static void
-retry_join (GsMembers *members)
+ask_seeds (GsMembers *members)
 {
-  static const int64_t delays_us[] = MEMBER_REJOIN_DELAYS_US;
-  bool due = members->next_join_us != 0 && members->now_us >= members->next_join_us;
+  uint32_t n_seeds;
+  const GsPeerAddress *seeds = gs_rejoin_seeds (members->rejoin, &n_seeds);
+  bool all;
 
-  if (members->n_seeds == 0 || members->join_retries >= G_N_ELEMENTS (delays_us)
-      || (members->next_join_us != 0 && !due))
+  if (!gs_rejoin_seeds_due (members->rejoin, is_alone (members), members->now_us, &all))
     return;
-  for (uint32_t i = 0; due && i < members->n_seeds; i++)
-    send_message (members, &members->seeds[i], GS_MEMBER_MESSAGE_PULL, 0, NULL);
-  members->next_join_us = members->now_us + delays_us[members->join_retries];
-  members->join_retries += due ? 1 : 0;
+  for (uint32_t i = 0; i < n_seeds; i++)
+    if (!is_own_address (members, &seeds[i]) && (all || !is_present_at (members, &seeds[i])))
+      send_message (members, &seeds[i], GS_MEMBER_MESSAGE_PULL, 0, NULL);
+}
+
+/* Pings the next dead member. If it lives, it refutes that. */
+static void
+ask_lost_member (GsMembers *members)
+{
+  uint32_t count = members->members->len;
+
+  if (!gs_rejoin_lost_due (members->rejoin, members->now_us))
+    return;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const Member *member = member_at (members, members->next_lost++ % count);
+      GsPeerAddress to = address_of (&member->info);
+      if (is_present (member) || is_own_address (members, &to))
+        continue;
+      send_message (members, &to, GS_MEMBER_MESSAGE_PING, ++members->sequence, NULL);
+      return;
+    }
 }
 
 void
 gs_members_tick (GsMembers *members, int64_t now_us)
 {
   members->now_us = now_us;
-  retry_join (members);
+  ask_seeds (members);
+  ask_lost_member (members);
   if (now_us >= members->next_period_us)
     begin_period (members);
   for (uint32_t i = 0; i < GS_MEMBER_RINGS; i++)
@@ -550,9 +612,10 @@
 
   members->now_us = now_us;
   members->last_received_us = now_us;
-  apply_update (members, &message->from);
+  members->has_met = members->has_met || !is_own_address (members, &from);
+  apply_update (members, &message->from, false);
   for (uint32_t i = 0; i < message->n_updates; i++)
-    apply_update (members, &message->updates[i]);
+    apply_update (members, &message->updates[i], message->kind == GS_MEMBER_MESSAGE_MEMBERS);
   if (message->kind != GS_MEMBER_MESSAGE_POSITION && message->position > members->position
       && message->position >= members->newest_position)
     {
@@ -584,11 +647,28 @@
 void
 gs_members_join (GsMembers *members, const GsPeerAddress *address)
 {
-  if (members->n_seeds < MEMBER_SEEDS_MAX)
-    members->seeds[members->n_seeds++] = *address;
+  gs_rejoin_add_seed (members->rejoin, address);
   send_message (members, address, GS_MEMBER_MESSAGE_PULL, 0, NULL);
 }
 
+void
+gs_members_set_seeds (GsMembers *members, const GsPeerAddress *seeds, uint32_t n_seeds)
+{
+  gs_rejoin_set_seeds (members->rejoin, seeds, n_seeds);
+}
+
+bool
+gs_members_expects_others (const GsMembers *members)
+{
+  uint32_t n_seeds;
+  const GsPeerAddress *seeds = gs_rejoin_seeds (members->rejoin, &n_seeds);
+
+  for (uint32_t i = 0; i < n_seeds && !members->has_met; i++)
+    if (!is_own_address (members, &seeds[i]))
+      return true;
+  return false;
+}
+
 /* Announces INFO, which is this daemon's with changes, if there are any. */
 static void
 announce (GsMembers *members, GsMemberInfo *info)
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -113,6 +113,15 @@
  * platform's list of instances. */
 void gs_members_join (GsMembers *members, const GsPeerAddress *address);
 
+/** Replaces the seeds by N_SEEDS others, of which this daemon may be one. Those that are no members
+ * are asked for the members at once and as long as this daemon runs. */
+void
+gs_members_set_seeds (GsMembers *members, const GsPeerAddress *seeds, uint32_t n_seeds);
+
+/** RETURN VALUE: true while this daemon has other daemons as seeds and has not heard from any other
+ * one since its start: the fleet is then of any size. */
+bool gs_members_expects_others (const GsMembers *members);
+
 /** Sets whether address lookups may return this daemon. */
 void gs_members_set_ready (GsMembers *members, bool ready);
 
--- a/test/unit/test_member.c
+++ b/test/unit/test_member.c
@@ -1,6 +1,8 @@
 /* Unit tests of core/member: 12 members on an in-memory network whose links can be blocked. */
 #include "fixture.h"
 
+#include "../../src/gentian/rejoin/rejoin.h"
+
 enum
 {
   NODES = 12
@@ -178,6 +180,122 @@
 }
 END_TEST
 
+/* RETURN VALUE: whether all running members consider all others that run to be alive. */
+static bool
+is_one_fleet (const Network *network)
+{
+  for (int i = 0; i < NODES; i++)
+    for (int j = 0; j < NODES; j++)
+      {
+        const GsMemberInfo *info = gs_members_find (network->members[i], member_info (j).id);
+        if (i != j && !network->stopped[i] && !network->stopped[j]
+            && (info == NULL || info->state != GS_MEMBER_ALIVE))
+          return false;
+      }
+  return true;
+}
+
+/* Guards against members that stay fleets of their own since their seed was down when they started.
+ */
+START_TEST (seed_that_returns_late_joins_the_fleet)
+{
+  Network network = { .now_us = GS_US_PER_S };
+
+  for (int i = 0; i < NODES; i++)
+    start_member (&network, i);
+  network.stopped[0] = true;
+  run_for (&network, 20 * GS_US_PER_S);
+  ck_assert_uint_eq (gs_members_count (network.members[5]), 1);
+  network.stopped[0] = false;
+  run_for (&network, GS_REJOIN_BOUND_US);
+  ck_assert (is_one_fleet (&network));
+  network_free (&network);
+}
+END_TEST
+
+/* Guards against two halves that each take the other one for dead for good after a cut. */
+START_TEST (halves_meet_again_after_a_long_cut)
+{
+  Network network;
+
+  network_start (&network);
+  for (int i = 0; i < NODES; i++)
+    for (int j = 0; j < NODES; j++)
+      network.blocked[i][j] = i % 2 != j % 2;
+  run_for (&network, 60 * GS_US_PER_S);
+  ck_assert_int_eq (count_views (&network, 3, GS_MEMBER_DEAD), NODES / 2);
+  memset (network.blocked, 0, sizeof network.blocked);
+  run_for (&network, GS_REJOIN_BOUND_US);
+  ck_assert (is_one_fleet (&network));
+  network_free (&network);
+}
+END_TEST
+
+/* Guards against members that are taken for dead, and are no homes, because others that could not
+ * reach them say so once they can. */
+START_TEST (end_of_a_cut_makes_no_member_look_dead)
+{
+  Network network;
+  uint32_t homes[NODES];
+  uint32_t fewest = NODES;
+
+  network_start (&network);
+  for (int i = 0; i < NODES; i++)
+    for (int j = 0; j < NODES; j++)
+      network.blocked[i][j] = i % 2 != j % 2;
+  run_for (&network, 60 * GS_US_PER_S);
+  memset (network.blocked, 0, sizeof network.blocked);
+  for (int step = 0; step < 150; step++)
+    {
+      run_for (&network, 100 * GS_US_PER_MS);
+      for (int i = 0; i < NODES; i++)
+        fewest = MIN (fewest, gs_members_homes (network.members[i], 5, NODES, homes));
+    }
+  ck_assert_uint_ge (fewest, NODES / 2);
+  network_free (&network);
+}
+END_TEST
+
+/* Guards against a fleet that never learns of seeds that were set while it ran. */
+START_TEST (changed_seeds_join_two_fleets)
+{
+  Network network = { .now_us = GS_US_PER_S };
+  GsPeerAddress seeds[] = { { .ipv4 = 3, .peer_port = 90 }, { .ipv4 = 4, .peer_port = 90 } };
+
+  for (int i = 0; i < NODES; i++)
+    start_member (&network, i);
+  network.stopped[0] = true;
+  run_for (&network, 20 * GS_US_PER_S);
+  for (int i = 1; i < NODES; i++)
+    gs_members_set_seeds (network.members[i], seeds, G_N_ELEMENTS (seeds));
+  run_for (&network, 3 * GS_US_PER_S);
+  ck_assert (is_one_fleet (&network));
+  network_free (&network);
+}
+END_TEST
+
+/* Guards against a daemon that takes itself for a whole fleet before it has met any other. */
+START_TEST (member_has_met_nobody_until_another_one_answers)
+{
+  Network network = { .now_us = GS_US_PER_S };
+  GsPeerAddress own = { .ipv4 = 3, .peer_port = 90 };
+
+  for (int i = 0; i < NODES; i++)
+    start_member (&network, i);
+  ck_assert (gs_members_expects_others (network.members[1]));
+  ck_assert (!gs_members_expects_others (network.members[0])); /* it has no seeds */
+  gs_members_set_seeds (network.members[2], &own, 1);
+  ck_assert (!gs_members_expects_others (network.members[2]));
+  network.stopped[0] = true;
+  run_for (&network, 2 * GS_US_PER_S);
+  ck_assert (gs_members_expects_others (network.members[1]));
+  network.stopped[0] = false;
+  run_for (&network, 2 * GS_US_PER_S);
+  ck_assert (!gs_members_expects_others (network.members[1]));
+  network_free (&network);
+}
+END_TEST
+
 /* Guards against a dead daemon that stays home of a pool or in the answers to address lookups. */
 START_TEST (dead_member_is_no_home_after_3_s)
 {
@@ -585,6 +703,11 @@
 FIXTURE_MAIN ("member",
               &all_members_find_each_other,
               &join_is_repeated_until_the_seed_answers,
+              &seed_that_returns_late_joins_the_fleet,
+              &halves_meet_again_after_a_long_cut,
+              &end_of_a_cut_makes_no_member_look_dead,
+              &changed_seeds_join_two_fleets,
+              &member_has_met_nobody_until_another_one_answers,
               &dead_member_is_no_home_after_3_s,
               &one_way_partitions_of_pairs_remove_no_member,
               &isolated_member_suspects_nobody,
