Hand out next to nothing of a quota before meeting any other daemon

Cause, second part: a daemon that has just started takes its seeds for the whole fleet, so each of any number of daemons that have not met hands out a third. Change: while a daemon has other daemons as seeds and has heard from none of them, its fleet counts as one of 10,000; after 30 s, twice the bound within which the parts of a fleet meet, it takes itself for the only one left, as before. Seeds are set by an event, of which the members keep the number. Why it works: the share rises with the first message of another daemon, which also makes both parts count each other.

--- a/src/gentian/core/core.c
+++ b/src/gentian/core/core.c
@@ -804,6 +804,9 @@
     case GS_EVENT_JOIN:
       gs_members_join (core->members, &event->join);
       break;
+    case GS_EVENT_SEEDS:
+      gs_members_set_seeds (core->members, event->seeds.addresses, event->seeds.n);
+      break;
     case GS_EVENT_EVIDENCE:
       handle_evidence (core, &event->evidence);
       break;
--- a/src/gentian/core/core.h
+++ b/src/gentian/core/core.h
@@ -86,6 +86,7 @@
   GS_EVENT_CLAIM_APPEND_FAILED,
   GS_EVENT_MEMBER_MESSAGE,
   GS_EVENT_JOIN,
+  GS_EVENT_SEEDS,
   GS_EVENT_EVIDENCE,
   GS_EVENT_CRASH_UPDATE,
   GS_EVENT_UPSTREAM_REPORT,
@@ -263,6 +264,11 @@
     } claim_append_failed;
     const GsMemberMessage *member_message;
     GsPeerAddress join;
+    struct
+    {
+      const GsPeerAddress *addresses;
+      uint32_t n;
+    } seeds; /**< which replace those of before */
     GsEvidence evidence;
     GsCrashUpdate crash_update;
     GsUpstreamReport upstream_report;
@@ -483,7 +489,6 @@
   uint64_t upstream_held_bytes;      /**< request bytes at one upstream by `placement`; 0: any */
   GsQuotaOptions quota;              /**< window_us 0: the limits of workspaces are ignored */
   bool first_start;                  /**< no daemon of the fleet has run before */
-  uint32_t n_seeds;                  /**< daemons that the fleet has at least */
 } GsCoreOptions;
 
 typedef struct GsCore GsCore;
--- a/src/gentian/core/core_private.h
+++ b/src/gentian/core/core_private.h
@@ -355,6 +355,9 @@
 /* Sends reports that cannot wait for the next tick. */
 void quota_after_event (GsCore *core);
 void quota_tick (GsCore *core);
+/* RETURN VALUE: the share of the rates that this daemon's side of the fleet may use; 1 without
+ * limits. */
+double quota_share (const GsCore *core);
 /* RETURN VALUE: INTERVAL_US, or less if quotas need an earlier tick. */
 int64_t quota_next_tick_us (const GsCore *core, int64_t interval_us);
 
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -657,6 +657,15 @@
   gs_rejoin_set_seeds (members->rejoin, seeds, n_seeds);
 }
 
+uint32_t
+gs_members_n_seeds (const GsMembers *members)
+{
+  uint32_t n_seeds;
+
+  gs_rejoin_seeds (members->rejoin, &n_seeds);
+  return n_seeds;
+}
+
 bool
 gs_members_expects_others (const GsMembers *members)
 {
--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -115,8 +115,10 @@
 
 /** Replaces the seeds by N_SEEDS others, of which this daemon may be one. Those that are no members
  * are asked for the members at once and as long as this daemon runs. */
-void
-gs_members_set_seeds (GsMembers *members, const GsPeerAddress *seeds, uint32_t n_seeds);
+void gs_members_set_seeds (GsMembers *members, const GsPeerAddress *seeds, uint32_t n_seeds);
+
+/** RETURN VALUE: the number of seeds, which are daemons that the fleet has or had. */
+uint32_t gs_members_n_seeds (const GsMembers *members);
 
 /** RETURN VALUE: true while this daemon has other daemons as seeds and has not heard from any other
  * one since its start: the fleet is then of any size. */
--- a/src/gentian/core/quota_link.c
+++ b/src/gentian/core/quota_link.c
@@ -6,6 +6,7 @@
 
 #include "../quota/account.h"
 #include "../quota/enforcer.h"
+#include "../rejoin/rejoin.h"
 
 enum
 {
@@ -15,6 +16,12 @@
 
 /** Time after its start in which a daemon learns of the other members. */
 #define QUOTA_SETTLED_US (2500 * GS_US_PER_MS)
+/** Size taken for that of a fleet of which a daemon has met nobody: above any that is planned for,
+ * so that it hands out next to nothing. */
+#define QUOTA_UNKNOWN_FLEET 10000
+/** Time after its start from which such a daemon takes itself for the only one left. Any other one
+ * that it can reach has been found by then. */
+#define QUOTA_ALONE_US (2 * GS_REJOIN_BOUND_US)
 /** Tick periods while workspaces are active, and while requests wait. */
 #define QUOTA_TICK_US (50 * GS_US_PER_MS)
 #define QUOTA_WAITING_TICK_US (25 * GS_US_PER_MS)
@@ -61,12 +68,22 @@
   return workspace ^ gs_mix64 (gs_hash_name (document));
 }
 
+/* Whether the fleet may have any size. The daemons that this one has not met may admit all that
+ * workspaces are allowed. */
+static bool
+is_fleet_unknown (const GsCore *core)
+{
+  return gs_members_expects_others (core->members)
+         && core->now_us - core->started_us < QUOTA_ALONE_US;
+}
+
 static uint64_t
 view_epoch (void *data)
 {
   const QuotaLink *link = data;
+  uint64_t epoch = gs_mix64 (gs_members_epoch (link->core->members)) + link->tables_epoch;
 
-  return gs_mix64 (gs_members_epoch (link->core->members)) + link->tables_epoch;
+  return is_fleet_unknown (link->core) ? ~epoch : epoch;
 }
 
 static uint32_t
@@ -74,12 +91,15 @@
 {
   const QuotaLink *link = data;
   uint32_t count = gs_members_count (link->core->members);
+  uint32_t n_seeds = gs_members_n_seeds (link->core->members);
 
   *alive = 0;
   for (uint32_t i = 0; i < count; i++)
     *alive += gs_members_get (link->core->members, i)->state != GS_MEMBER_DEAD ? 1 : 0;
+  if (is_fleet_unknown (link->core))
+    return QUOTA_UNKNOWN_FLEET;
   /* A daemon that has just started knows few others yet. */
-  return MAX (count, link->core->options.n_seeds);
+  return MAX (count, n_seeds);
 }
 
 static uint32_t
@@ -542,6 +562,12 @@
   emit_counts (link);
 }
 
+double
+quota_share (const GsCore *core)
+{
+  return core->quota != NULL ? gs_quota_fleet_share (core->quota->fleet, core->now_us) : 1;
+}
+
 int64_t
 quota_next_tick_us (const GsCore *core, int64_t interval_us)
 {
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -736,7 +736,6 @@
                      .overshoot_ppm = settings->quota_overshoot_ppm,
                      .slack = settings->quota_slack },
           .first_start = settings->first_start,
-          .n_seeds = settings->n_seeds,
           .self = { .ipv4 = settings->address,
                     .entry_port = (uint16_t)settings->entry_port,
                     .peer_port = (uint16_t)settings->peer_port,
@@ -750,17 +749,16 @@
   engine->effects = gs_effects_new ();
 }
 
-static void
-join_seeds (GsEngine *engine)
+void
+gs_engine_set_seeds (GsEngine *engine, const GsPeerAddress *seeds, uint32_t n_seeds)
 {
-  for (uint32_t i = 0; i < engine->settings->n_seeds; i++)
+  GsEvent event = { .kind = GS_EVENT_SEEDS, .seeds = { .addresses = seeds, .n = n_seeds } };
+
+  gs_engine_post (engine, &event);
+  for (uint32_t i = 0; i < n_seeds && gs_settings_uses_store (engine->settings); i++)
     {
-      GsEvent event = { .kind = GS_EVENT_JOIN, .join = engine->settings->seeds[i] };
-      gs_engine_post (engine, &event);
-      if (!gs_settings_uses_store (engine->settings))
-        continue;
-      gs_engine_pull_tables_snapshot (engine, &engine->settings->seeds[i], 0);
-      gs_engine_pull_registry (engine, &engine->settings->seeds[i]);
+      gs_engine_pull_tables_snapshot (engine, &seeds[i], 0);
+      gs_engine_pull_registry (engine, &seeds[i]);
     }
 }
 
@@ -807,7 +805,7 @@
       gs_engine_free (engine);
       return NULL;
     }
-  join_seeds (engine);
+  gs_engine_set_seeds (engine, settings->seeds, settings->n_seeds);
   arm_tick (engine);
   return engine;
 }
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -96,6 +96,9 @@
 struct ev_loop *gs_engine_loop (const GsEngine *engine);
 uint64_t gs_engine_incarnation (const GsEngine *engine);
 
+/** Replaces the seeds, and asks them for the members, the tables and the registrations. */
+void gs_engine_set_seeds (GsEngine *engine, const GsPeerAddress *seeds, uint32_t n_seeds);
+
 /** Requests from the daemon at TO a snapshot of all tables with a revision above FROM. */
 void gs_engine_pull_tables_snapshot (GsEngine *engine, const GsPeerAddress *to, uint64_t from);
 
--- a/test/unit/test_quota.c
+++ b/test/unit/test_quota.c
@@ -494,6 +494,35 @@
 }
 END_TEST
 
+/* Guards against daemons that each hand out their part of a rate before they have met: with three
+ * seeds, a third each, whatever their number. */
+START_TEST (daemon_that_has_met_nobody_hands_out_next_to_nothing)
+{
+  Fixture fixture = limited_fixture (true, true);
+  GsPeerAddress seeds[] = { { 2, 90 }, { 3, 90 }, { 4, 90 } };
+  GsEvent event = { .kind = GS_EVENT_SEEDS, .seeds = { .addresses = seeds, .n = 3 } };
+  GsMemberMessage message
+      = { .kind = GS_MEMBER_MESSAGE_ACK, .from = fixture_member ("other", "d1") };
+  GsEvent met = { .kind = GS_EVENT_MEMBER_MESSAGE, .member_message = &message };
+
+  ck_assert_double_eq (quota_share (fixture.core), 1); /* without seeds it is alone */
+  fixture_reduce (&fixture, &event);
+  ck_assert_double_lt (quota_share (fixture.core), 0.001);
+  fixture_tick (&fixture, 10 * GS_US_PER_S);
+  ck_assert_double_lt (quota_share (fixture.core), 0.001);
+  fixture_tick (&fixture, 30 * GS_US_PER_S); /* nobody is left */
+  quota_share (fixture.core);
+  fixture_tick (&fixture, 3 * GS_US_PER_S);
+  ck_assert_double_eq_tol (quota_share (fixture.core), 1. / 3, 0.01);
+  fixture_reduce (&fixture, &met);
+  quota_share (fixture.core);
+  fixture.now_us += 2 * GS_US_PER_S;
+  fixture_reduce (&fixture, &met);
+  ck_assert_double_eq_tol (quota_share (fixture.core), 2. / 3, 0.01);
+  fixture_free (&fixture);
+}
+END_TEST
+
 /* Dispatches a request of workspace "acme" to a pool that this daemon serves itself. RETURN VALUE:
  * its HTTP status if it is rejected, else 0. */
 static uint16_t
@@ -633,4 +662,5 @@
               &scheduler_refunds_what_has_not_run,
               &slot_requests_over_the_limit_are_refused,
               &requests_served_here_are_limited,
+              &daemon_that_has_met_nobody_hands_out_next_to_nothing,
               &quota_messages_round_trip)
