Take over seeds that change while a daemon runs

Cause, third part: on SIGHUP the file was only checked, and without a signal, which the platform need not send, it was not read. Change: daemon/settings_watch reads the file every second and on SIGHUP, and takes over the seeds. Other fields hold for the whole process; GS1107 names those that a restart would change. With a file that cannot be used the settings of before stay, and the line names the field. Why it works: new seeds are asked at once and as at a start, by every daemon, whoever is told first.

--- a/src/gentian/config/fields.c
+++ b/src/gentian/config/fields.c
@@ -403,6 +403,18 @@
   return set_defaults (yaml, node, specs, n_specs, seen, out, error);
 }
 
+bool
+gs_fields_equal (const GsFieldSpec *spec, const void *a, const void *b)
+{
+  const char *first = (const char *)a + spec->offset;
+  const char *second = (const char *)b + spec->offset;
+
+  if (spec->kind == GS_FIELD_TEXT || spec->kind == GS_FIELD_NAME)
+    return g_strcmp0 (*(char *const *)(const void *)first, *(char *const *)(const void *)second)
+           == 0;
+  return memcmp (first, second, sizeof (uint32_t)) == 0;
+}
+
 void
 gs_fields_clear (const GsFieldSpec *specs, size_t n_specs, void *out)
 {
--- a/src/gentian/config/fields.h
+++ b/src/gentian/config/fields.h
@@ -15,6 +15,7 @@
 #define GS_FIELDS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <yaml.h>
 
@@ -87,6 +88,10 @@
                          void *out,
                          GError **error);
 
+/** RETURN VALUE: whether the field that SPEC describes, which is no GS_FIELD_NODE, has the same
+ * value in A and B. */
+bool gs_fields_equal (const GsFieldSpec *spec, const void *a, const void *b);
+
 /** Frees the text fields of OUT. */
 void gs_fields_clear (const GsFieldSpec *specs, size_t n_specs, void *out);
 
--- a/src/gentian/config/settings.c
+++ b/src/gentian/config/settings.c
@@ -110,7 +110,8 @@
     "but at least one request; 0: any",
     NULL },
   { "seeds", GS_FIELD_NODE, offsetof (SettingsFields, seeds), 0, 0, NULL, "rows",
-    "peer addresses (ip:port) of other daemons to contact at the start", NULL },
+    "peer addresses (ip:port) of other daemons to contact, taken over while the daemon runs",
+    NULL },
 };
 
 static gboolean
@@ -256,6 +257,19 @@
   g_free (settings);
 }
 
+char *
+gs_settings_restart_fields (const GsSettings *a, const GsSettings *b)
+{
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (specs); i++)
+    if (specs[i].kind != GS_FIELD_NODE
+        && !gs_fields_equal (&specs[i], (const SettingsFields *)a, (const SettingsFields *)b))
+      g_ptr_array_add (names, (gpointer)specs[i].name);
+  g_ptr_array_add (names, NULL);
+  return g_strjoinv (",", (char **)names->pdata);
+}
+
 char *
 gs_settings_reference (void)
 {
--- a/src/gentian/config/settings.h
+++ b/src/gentian/config/settings.h
@@ -3,9 +3,10 @@
  *   settings - the YAML settings of one daemon
  *
  * DESCRIPTION
- *   Read once at the start. docs/operators/SETTINGS.md is generated from the specifications in
- * settings.c; a test compares the two. Keys are given only in this file: not on the command line,
- * and no message or log line contains them.
+ *   Read at the start; daemon/settings_watch takes over later changes of the seeds.
+ * docs/operators/SETTINGS.md is generated from the specifications in settings.c; a test compares
+ * the two. Keys are given only in this file: not on the command line, and no message or log line
+ * contains them.
  */
 #ifndef GS_SETTINGS_H
 #define GS_SETTINGS_H
@@ -70,6 +71,10 @@
 
 void gs_settings_free (GsSettings *settings);
 
+/** RETURN VALUE: newly allocated names, with commas between them, of the fields other than the
+ * seeds that differ between A and B; they take effect with a restart. */
+char *gs_settings_restart_fields (const GsSettings *a, const GsSettings *b);
+
 /** RETURN VALUE: whether tables and registrations are read from the platform's metadata store. */
 static inline bool
 gs_settings_uses_store (const GsSettings *settings)
--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -12,6 +12,7 @@
 #include "../../platform/platform.h"
 #include "../gentian/daemon/store_watcher.h"
 #include "../gentian/daemon/log_consumer.h"
+#include "../gentian/daemon/settings_watch.h"
 #include "../gentian/http/admin.h"
 #include "../gentian/http/planned_stop.h"
 #include "../gentian/log/counter.h"
@@ -153,20 +154,18 @@
   gs_engine_free (services->engine);
 }
 
-/* Only checks the settings file and logs the result. Settings hold addresses and limits of the
- * whole process, so a change takes effect after a planned restart. */
 static void
-on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+on_seeds_changed (const GsPeerAddress *seeds, uint32_t n_seeds, void *data)
 {
-  g_autoptr (GError) error = NULL;
-  GsSettings *settings = gs_settings_load (settings_file, &error);
+  gs_engine_set_seeds (data, seeds, n_seeds);
+}
 
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
   (void)loop;
-  (void)watcher;
   (void)events;
-  gs_log (GS_LOG_EVENT_SETTINGS_RELOADED, "settings=%s result=%s", settings_file,
-          settings != NULL ? "unchanged-until-restart" : error->message);
-  gs_settings_free (settings);
+  gs_settings_watch_check (watcher->data);
 }
 
 /* The first signal begins a planned stop, a second one ends it. */
@@ -183,12 +182,19 @@
 serve (Services *services)
 {
   GsPlannedStop *stop = gs_planned_stop_new (services->engine, services->entry);
+  GsSettingsWatch *settings_watch = gs_settings_watch_new (
+      &(GsSettingsWatchOptions){ .loop = services->loop,
+                                 .file = settings_file,
+                                 .settings = gs_engine_settings (services->engine),
+                                 .seeds_changed = on_seeds_changed,
+                                 .data = services->engine });
   ev_signal reload, terminate, interrupt;
   uint32_t cut;
 
   ev_signal_init (&reload, on_reload, SIGHUP);
   ev_signal_init (&terminate, on_stop_signal, SIGTERM);
   ev_signal_init (&interrupt, on_stop_signal, SIGINT);
+  reload.data = settings_watch;
   terminate.data = stop;
   interrupt.data = stop;
   ev_signal_start (services->loop, &reload);
@@ -198,6 +204,7 @@
   ev_signal_stop (services->loop, &terminate);
   ev_signal_stop (services->loop, &interrupt);
   ev_signal_stop (services->loop, &reload);
+  gs_settings_watch_free (settings_watch);
   gs_planned_stop_free (stop);
   return cut;
 }
--- /dev/null
+++ b/test/functional/test_seeds.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Daemons whose seeds are down find the fleet when the settings name others, with and without a
+# signal, and when a seed returns. Until then they do not take themselves for the whole fleet.
+PORTS=27600
+. "$(dirname "$0")/common.sh"
+control_of () { echo "\"127.0.0.1:$((PORTS + 202 + 10 * $1))\""; }
+# set_seeds DAEMON SEED...: rewrites the seeds in the daemon's settings
+set_seeds () {
+  local file="$DIR/inst-$1.yaml" seeds="" i; shift
+  for i in "$@"; do seeds+="${seeds:+, }$(control_of "$i")"; done
+  sed -e "s|^seeds:.*|seeds: [$seeds]|" "$file" >"$file.new" && mv "$file.new" "$file"
+}
+# start_with DAEMON SEED...
+start_with () {
+  local n=$1
+  write_native_settings "$n" "d$((n % 3))"; set_seeds "$@"
+  "$BIN/gentianscaled" --settings "$DIR/inst-$n.yaml" >>"$DIR/inst-$n.log" 2>&1 & record_pid "inst-$n" $!
+}
+# sees DAEMON COUNT: the last change of its members that it logged has so many alive
+sees () { [ "$(grep -o "GS4101 - member-state-changed alive=[0-9]*" "$DIR/inst-$1.log" | tail -1 | sed 's/.*=//')" = "$2" ]; }
+all_see () { local count=$1 i; shift; for i in "$@"; do sees "$i" "$count" || return 1; done; }
+
+start_store
+echo '{"Version":"r3","Routes":[],"Services":[]}' >"$DIR/config.json"; put_record keyed.op config "$DIR/config.json"
+start_with 1 1; start_with 2 1; BOOTSTRAP=false start_with 3 8 9; BOOTSTRAP=false start_with 4 8 9
+check "daemons with a living seed are one fleet" wait_for 10 all_see 2 1 2
+sleep 4
+check "daemons whose seeds are down are alone" all_see 1 3 4
+set_seeds 3 1 2; kill -HUP "$(pid_of inst-3)"
+check "one that gets new seeds and SIGHUP joins within 2 s" wait_for 2 all_see 3 1 2 3
+set_seeds 4 1 2
+check "one that gets new seeds without a signal joins within 4 s" wait_for 4 all_see 4 1 2 3 4
+check "the change is logged" grep -q 'GS1107 - settings-read-again .*result="seeds-changed"' "$DIR/inst-4.log"
+sed -i 's|^seeds:.*|seeds: ["nowhere"]|' "$DIR/inst-4.yaml"
+check "an invalid file is logged with its field" wait_for 4 grep -q "GS1107 .*field seeds: found nowhere" "$DIR/inst-4.log"
+check "and leaves the members as they are" all_see 4 1 2 3 4
+
+start_with 5 6
+sleep 4
+check "a daemon whose seed starts later is alone" sees 5 1
+start_with 6 1
+check "and joins when it does" wait_for 5 all_see 6 1 2 3 4 5 6
