Ignore SIGHUP until the event loop handles it

What operators saw: a reload in the first 10 ms of a daemon ended it. Cause: the handler is set after all services have started; until then the signal has its default effect. A signal that arrives while the dynamic linker runs still ends the process.

--- a/src/gentianscaled/main.c
+++ b/src/gentianscaled/main.c
@@ -249,6 +249,8 @@
   struct ev_loop *loop;
   int status;
 
+  /* Until the loop handles it, a reload must not end the process; the file is read again soon. */
+  signal (SIGHUP, SIG_IGN);
   mallopt (M_ARENA_MAX, MALLOC_ARENAS);
   mallopt (M_MMAP_THRESHOLD, MALLOC_LARGE_BYTES);
   mallopt (M_TRIM_THRESHOLD, MALLOC_LARGE_BYTES);
