--- a/src/gentian/config/tables.c
+++ b/src/gentian/config/tables.c
@@ -182,7 +182,7 @@
           return FALSE;
         }
       route->parts[route->n_parts++]
-          = (GsRoutePart){ .pool = fields.pool, .weight = (uint16_t)fields.weight };
+          = (GsRoutePart){ .pool = fields.pool, .weight = fields.weight };
     }
   return TRUE;
 }
--- a/src/gentian/core/table.h
+++ b/src/gentian/core/table.h
@@ -54,7 +54,7 @@
 typedef struct
 {
   char *pool;
-  uint16_t weight; /**< relative to the other parts */
+  uint32_t weight; /**< relative to the other parts */
 } GsRoutePart;
 
 /** Digest of a caller's key. Tables, messages and logs never hold the key itself. */
--- a/test/unit/test_platform.c
+++ b/test/unit/test_platform.c
@@ -86,6 +86,40 @@
 }
 END_TEST
 
+/* Guards against a whole version that is kept out of force by one value above what a daemon needs:
+ * the pages bound none of them. */
+START_TEST (values_above_what_a_daemon_needs_are_accepted)
+{
+  static const struct
+  {
+    const char *old, *new;
+    uint32_t weights[2]; /* in the proportion of the parts of the split; 0: unchanged */
+  } rows[] = { { "\"Weight\":90", "\"Weight\":900000", { 900000, 10 } },
+               { "\"Weight\":90", "\"Weight\":0.5", { 1, 20 } },
+               { "\"Weight\":90", "\"Weight\":9e12", { 900000000, 0 } },
+               { "\"MaxConns\":330", "\"MaxConns\":70000", { 0 } },
+               { "\"MaxAttempts\":3", "\"MaxAttempts\":300", { 0 } },
+               { "\"Priority\":2", "\"Priority\":1000", { 0 } },
+               { "\"MaxBodyBytes\":67108864", "\"MaxBodyBytes\":5000000000", { 0 } } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *text = replace_first (tables_text, rows[i].old, rows[i].new);
+      GsDocument *document = parse_tables (text, NULL);
+      const GsRoutePart *parts;
+      ck_assert_msg (document != NULL, "%s", rows[i].new);
+      parts = document->routes[1].parts;
+      ck_assert_uint_gt (parts[1].weight, 0);
+      if (rows[i].weights[1] != 0)
+        ck_assert_double_eq_tol ((double)parts[0].weight / parts[1].weight,
+                                 (double)rows[i].weights[0] / rows[i].weights[1], 0.01);
+      else if (rows[i].weights[0] != 0)
+        ck_assert_uint_gt (parts[0].weight / parts[1].weight, 100000000);
+      gs_document_free (document);
+    }
+}
+END_TEST
+
 /** The list of workspaces that is put into tables_text. */
 #define TENANTS                                                                                    \
   "\"Tenants\":[{\"Name\":\"cuka620\",\"ApiKeys\":[\"8m82thhk\",\"jy5rcpih\"],"                    \
@@ -568,6 +602,7 @@
 FIXTURE_MAIN ("platform",
               &valid_tables_are_decoded,
               &tables_with_one_invalid_value_are_refused,
+              &values_above_what_a_daemon_needs_are_accepted,
               &workspaces_are_decoded,
               &empty_values_do_what_the_operators_page_says,
               &empty_list_of_workspaces_is_not_a_missing_one,
