--- a/test/property/prop_member.cpp
+++ b/test/property/prop_member.cpp
@@ -189,7 +189,7 @@
   return pairs;
 }
 
-// The seeds of all daemons name up to three that run.
+// The seeds of daemons of which no seed runs name up to three that do.
 void
 correct_seeds (World &world)
 {
@@ -200,6 +200,11 @@
       running.push_back (daemon.index);
   for (Daemon &daemon : world.daemons)
     {
+      bool has_seed = false;
+      for (uint32_t seed : daemon.seeds)
+        has_seed = has_seed || !world.daemons[seed].lost;
+      if (has_seed)
+        continue;
       daemon.seeds = running;
       if (!daemon.lost)
         set_seeds (daemon);
--- a/test/property/prop_tables_copies.cpp
+++ b/test/property/prop_tables_copies.cpp
@@ -233,7 +233,6 @@
         for (const Daemon &daemon : daemons)
           check (daemon, versions);
       }
-    RC_TAG (versions.size ());
   });
   return ok ? 0 : 1;
 }
