Spread the questions of a fleet whose daemons all get new seeds

Cause, found while reading: a change of settings reaches many daemons at once. Each began the questions of a start anew, of which every answer lists all members, and pulled tables and all registrations from each seed: with 444 daemons some 8,000 lists of 40 KB from three seeds. Change: a daemon that is not alone asks new seeds once, within a second at random, and only those that are no members; tables and registrations are pulled from seeds at the start only.

--- a/src/gentian/core/member.h
+++ b/src/gentian/core/member.h
@@ -114,7 +114,7 @@
 void gs_members_join (GsMembers *members, const GsPeerAddress *address);
 
 /** Replaces the seeds by N_SEEDS others, of which this daemon may be one. Those that are no members
- * are asked for the members at once and as long as this daemon runs. */
+ * are asked for the members soon, and as long as this daemon runs. */
 void gs_members_set_seeds (GsMembers *members, const GsPeerAddress *seeds, uint32_t n_seeds);
 
 /** RETURN VALUE: the number of seeds, which are daemons that the fleet has or had. */
--- a/src/gentian/daemon/engine.c
+++ b/src/gentian/daemon/engine.c
@@ -755,10 +755,18 @@
   GsEvent event = { .kind = GS_EVENT_SEEDS, .seeds = { .addresses = seeds, .n = n_seeds } };
 
   gs_engine_post (engine, &event);
-  for (uint32_t i = 0; i < n_seeds && gs_settings_uses_store (engine->settings); i++)
+}
+
+static void
+join_seeds (GsEngine *engine)
+{
+  const GsSettings *settings = engine->settings;
+
+  gs_engine_set_seeds (engine, settings->seeds, settings->n_seeds);
+  for (uint32_t i = 0; i < settings->n_seeds && gs_settings_uses_store (settings); i++)
     {
-      gs_engine_pull_tables_snapshot (engine, &seeds[i], 0);
-      gs_engine_pull_registry (engine, &seeds[i]);
+      gs_engine_pull_tables_snapshot (engine, &settings->seeds[i], 0);
+      gs_engine_pull_registry (engine, &settings->seeds[i]);
     }
 }
 
@@ -805,7 +813,7 @@
       gs_engine_free (engine);
       return NULL;
     }
-  gs_engine_set_seeds (engine, settings->seeds, settings->n_seeds);
+  join_seeds (engine);
   arm_tick (engine);
   return engine;
 }
--- a/src/gentian/daemon/engine.h
+++ b/src/gentian/daemon/engine.h
@@ -96,7 +96,8 @@
 struct ev_loop *gs_engine_loop (const GsEngine *engine);
 uint64_t gs_engine_incarnation (const GsEngine *engine);
 
-/** Replaces the seeds, and asks them for the members, the tables and the registrations. */
+/** Replaces the seeds, which are asked for the members. Tables and registrations are not pulled
+ * from them: a whole fleet may get new seeds at once. */
 void gs_engine_set_seeds (GsEngine *engine, const GsPeerAddress *seeds, uint32_t n_seeds);
 
 /** Requests from the daemon at TO a snapshot of all tables with a revision above FROM. */
--- a/src/gentian/rejoin/rejoin.c
+++ b/src/gentian/rejoin/rejoin.c
@@ -12,6 +12,9 @@
 /** Mean intervals after that, of a daemon that is alone and of one that is not. */
 #define REJOIN_ALONE_INTERVAL_US GS_US_PER_S
 #define REJOIN_INTERVAL_US (5 * GS_US_PER_S)
+/** Time within which the daemons of a fleet ask new seeds: most then find that these are members.
+ */
+#define REJOIN_NEW_SEEDS_US GS_US_PER_S
 /** Mean interval at which lost members are asked, one after the other. */
 #define REJOIN_LOST_INTERVAL_US (2 * GS_US_PER_S)
 /** The same for a while after one of them has returned. */
@@ -50,7 +53,6 @@
   rejoin->n_seeds = MIN (n_seeds, GS_REJOIN_SEEDS_MAX);
   if (rejoin->n_seeds > 0)
     memcpy (rejoin->seeds, seeds, rejoin->n_seeds * sizeof *seeds);
-  rejoin->n_asked = 0;
   rejoin->next_seeds_us = 0;
 }
 
@@ -80,18 +82,21 @@
 {
   static const int64_t intervals_us[] = REJOIN_START_INTERVALS_US;
   int64_t interval_us = alone ? REJOIN_ALONE_INTERVAL_US : REJOIN_INTERVAL_US;
+  bool starting = rejoin->n_asked < G_N_ELEMENTS (intervals_us);
 
-  *all = alone || rejoin->n_asked < G_N_ELEMENTS (intervals_us);
+  *all = alone || starting;
   if (rejoin->n_seeds == 0)
     return false;
+  if (rejoin->next_seeds_us == 0 && !*all)
+    rejoin->next_seeds_us
+        = now_us + (int64_t)(REJOIN_NEW_SEEDS_US * gs_random_unit (&rejoin->random));
   /* A daemon that has just lost all others does not wait for the long interval to pass. */
   rejoin->next_seeds_us = MIN (rejoin->next_seeds_us, now_us + 2 * interval_us);
   if (now_us < rejoin->next_seeds_us)
     return false;
   rejoin->next_seeds_us
       = now_us
-        + (rejoin->n_asked < G_N_ELEMENTS (intervals_us) ? intervals_us[rejoin->n_asked++]
-                                                         : draw_interval_us (rejoin, interval_us));
+        + (starting ? intervals_us[rejoin->n_asked++] : draw_interval_us (rejoin, interval_us));
   return true;
 }
 
--- a/src/gentian/rejoin/rejoin.h
+++ b/src/gentian/rejoin/rejoin.h
@@ -38,8 +38,7 @@
 GsRejoin *gs_rejoin_new (uint64_t seed);
 void gs_rejoin_free (GsRejoin *rejoin);
 
-/** Replaces the seeds by N_SEEDS others, at most GS_REJOIN_SEEDS_MAX, which are asked as at a
- * start. */
+/** Replaces the seeds by N_SEEDS others, at most GS_REJOIN_SEEDS_MAX, which are asked soon. */
 void gs_rejoin_set_seeds (GsRejoin *rejoin, const GsPeerAddress *seeds, uint32_t n_seeds);
 
 /** Adds a seed unless there are GS_REJOIN_SEEDS_MAX. */
