--- a/src/gentian/core/config_log.c
+++ b/src/gentian/core/config_log.c
@@ -17,7 +17,8 @@
   GHashTable *entries; /* workspace -> WorkspaceEntry */
   GsTable *table;      /* not owned */
   uint64_t position;
-  uint64_t refused_position; /* of a snapshot with an unusable entry that has not ended; 0: none */
+  uint64_t refused_position; /* of a snapshot with an unusable entry that has not ended */
+  bool has_refused;          /* there is such a snapshot */
   bool complete;
 };
 
@@ -182,14 +183,15 @@
 gs_config_log_refuse_snapshot_entry (GsConfigLog *log, uint64_t position)
 {
   log->refused_position = position;
+  log->has_refused = true;
 }
 
 bool
 gs_config_log_end_snapshot (GsConfigLog *log, uint64_t position)
 {
-  if (log->refused_position == position)
+  if (log->has_refused && log->refused_position == position)
     {
-      log->refused_position = 0; /* a copy that is whole may follow */
+      log->has_refused = false; /* a copy that is whole may follow */
       return false;
     }
   gs_config_log_set_complete (log, position);
--- a/test/unit/test_config_log.c
+++ b/test/unit/test_config_log.c
@@ -136,6 +136,18 @@
 }
 END_TEST
 
+/* Guards against a daemon that never becomes ready as nobody has written any tables yet. */
+START_TEST (empty_snapshot_to_position_0_is_complete)
+{
+  LogFixture fixture = log_fixture_new ();
+
+  ck_assert (gs_config_log_accepts_snapshot (fixture.log, 0, 0));
+  ck_assert (gs_config_log_end_snapshot (fixture.log, 0));
+  ck_assert (gs_config_log_is_complete (fixture.log));
+  log_fixture_free (&fixture);
+}
+END_TEST
+
 static void
 copy_text (const GsSnapshotEntry *entry, void *data)
 {
@@ -168,4 +180,5 @@
               &replayed_and_out_of_order_edits_are_ignored,
               &snapshot_carries_the_complete_state,
               &stale_snapshot_reverts_nothing,
+              &empty_snapshot_to_position_0_is_complete,
               &text_of_tables_without_rows_is_sent_as_written)
