Log changes of a daemon's share of the quotas

Change: GS2123 with the share and the members that it is taken of. Measured: test_docs and test_quota pass.

--- a/src/gentian/core/log_event.h
+++ b/src/gentian/core/log_event.h
@@ -45,6 +45,7 @@
   X (ANSWER_DISCARDED, 2111, GS_LOG_LEVEL_NOTICE, "answer-discarded")                              \
   X (QUOTA_REACHED, 2121, GS_LOG_LEVEL_NOTICE, "quota-reached")                                    \
   X (QUOTA_DEGRADED, 2122, GS_LOG_LEVEL_WARNING, "quota-without-majority")                         \
+  X (QUOTA_SHARE_CHANGED, 2123, GS_LOG_LEVEL_NOTICE, "quota-share-changed")                        \
   X (ANSWER_ENDED_BY_CLOSE, 2112, GS_LOG_LEVEL_INFO, "answer-ended-by-close")                      \
   X (CALLER_RESET, 2113, GS_LOG_LEVEL_NOTICE, "caller-reset")                                      \
   X (BELIEF_CHANGED, 3105, GS_LOG_LEVEL_NOTICE, "upstream-belief-changed")                         \
--- a/src/gentian/core/member.c
+++ b/src/gentian/core/member.c
@@ -114,6 +114,7 @@
 {
   members->digest ^= info_digest (&member->info);
   member->claimed_dead_us = 0;
+  /* One that is being added has no id yet. */
   if (info->state != GS_MEMBER_DEAD && !is_present (member) && member->info.id[0] != '\0')
     gs_rejoin_note_return (members->rejoin, members->now_us);
   if (member->info.state != info->state || member->info.ready != info->ready
--- a/src/gentian/core/quota_link.c
+++ b/src/gentian/core/quota_link.c
@@ -51,6 +51,7 @@
   bool replied_here;  /* this daemon, which keeps an account itself, has replied to itself */
   GHashTable *logged; /* workspace -> time of its last log event */
   int64_t degraded_logged_us;
+  double logged_share; /* of the rates */
   GsQuotaCounts counted;
 };
 
@@ -160,6 +161,7 @@
   link->documents = g_ptr_array_new_with_free_func (g_free);
   link->logged = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   g_queue_init (&link->held);
+  link->logged_share = 1;
   return link;
 }
 
@@ -548,6 +550,25 @@
   *before = counts;
 }
 
+double
+quota_share (const GsCore *core)
+{
+  return core->quota != NULL ? gs_quota_fleet_share (core->quota->fleet, core->now_us) : 1;
+}
+
+static void
+log_share (QuotaLink *link)
+{
+  GsCore *core = link->core;
+  double share = quota_share (core);
+
+  if (share == link->logged_share)
+    return;
+  link->logged_share = share;
+  core_log_event (core, GS_LOG_EVENT_QUOTA_SHARE_CHANGED, "share=%.3f members=%u", share,
+                  gs_quota_fleet_members (link->fleet, core->now_us));
+}
+
 void
 quota_tick (GsCore *core)
 {
@@ -559,15 +580,10 @@
   serve_held (link);
   link->flush_due = false;
   gs_quota_accounts_tick (link->accounts, core->now_us);
+  log_share (link);
   emit_counts (link);
 }
 
-double
-quota_share (const GsCore *core)
-{
-  return core->quota != NULL ? gs_quota_fleet_share (core->quota->fleet, core->now_us) : 1;
-}
-
 int64_t
 quota_next_tick_us (const GsCore *core, int64_t interval_us)
 {
