test_seeds: read a process's signal masks at once

Change: the file is read at once; SIGHUP is sent when the daemon ignores or catches it, within 10 s. The check counts the same samples and the same ends.

--- a/test/functional/test_seeds.sh
+++ b/test/functional/test_seeds.sh
@@ -41,24 +41,26 @@
 start_with 6 1
 check "and joins when it does" wait_for 5 all_see 6 1 2 3 4 5 6
 
-# RETURN VALUE: true while a SIGHUP would end process PID: it has started its threads, and neither
-# ignores nor catches the signal.
-exposed () {
-  local line threads=1 masks=0
+# look PID: sets `threads` of the process, and `safe` to 1 if it ignores or catches SIGHUP. The file
+# is read at once: between two reads the process may change.
+look () {
+  local line
+  threads=1 safe=0
   while read -r line; do
     case "$line" in
       Threads:*) threads=${line##*[!0-9]} ;;
-      SigIgn:* | SigCgt:*) masks=$((masks | 16#${line: -1})) ;;
+      SigIgn:* | SigCgt:*) safe=$((safe | 16#${line: -1} & 1)) ;;
     esac
-  done 2>/dev/null <"/proc/$1/status"
-  [ "$threads" -gt 1 ] && [ $((masks & 1)) = 0 ]
+  done <<<"$(cat "/proc/$1/status" 2>/dev/null)"
 }
+is_safe () { look "$1"; [ $safe = 1 ]; }
 write_native_settings 7 d1
 seen=0
 for i in 1 2 3 4 5; do
   "$BIN/gentianscaled" --settings "$DIR/inst-7.yaml" >>"$DIR/inst-7.log" 2>&1 & record_pid inst-7 $!
   until=$(($(date +%s%3N) + 400))
-  while [ "$(date +%s%3N)" -lt $until ]; do for j in 1 2 3 4 5; do exposed $! && seen=$((seen + 1)); done; done
+  while [ "$(date +%s%3N)" -lt $until ]; do look $!; [ "$threads" -gt 1 ] && [ $safe = 0 ] && seen=$((seen + 1)); done
+  wait_for 10 is_safe $! # the dynamic linker may take longer
   kill -HUP $!; sleep 0.1
   kill -0 $! 2>/dev/null || seen=$((seen + 1))
   kill -KILL $!; wait $! 2>/dev/null
